--- /dev/null
+++ b/crates/core/src/commit.rs
@@ -0,0 +1,199 @@
+//! The leader's writes: one transaction in flight, each fenced by the leader
+//! key's version and by the version of every record it replaces.
+
+use crate::leader::Role;
+use crate::record::*;
+use crate::{Core, Purpose, StateOp, StateReply, Time};
+use std::collections::BTreeSet;
+use tracing::{debug, warn};
+use wire::job::JobStatus;
+use wire::state::{Change, Condition, Item, Txn, TXN_LIMIT};
+
+pub struct InFlight {
+    pub serial: u64,
+    pub sent: Time,
+    pub parts: Vec<Part>,
+}
+
+/// One job's share of a transaction.
+pub struct Part {
+    pub id: String,
+    pub count: u64,
+    pub pages: BTreeSet<usize>,
+}
+
+impl InFlight {
+    pub fn touches(&self, id: &str) -> bool {
+        self.parts.iter().any(|p| p.id == id)
+    }
+}
+
+impl Core {
+    pub(crate) fn commit_on_time(&mut self) {
+        let now = self.now;
+        if let Role::Leader(l) = &mut self.role {
+            if now >= l.commit_retry && !l.reread_queue.is_empty() {
+                let token = l.token;
+                for key in std::mem::take(&mut l.reread_queue) {
+                    self.state(Purpose::Reread { token, key: key.clone() }, StateOp::Get(key));
+                }
+            }
+        }
+        if !self.entitled() {
+            return;
+        }
+        let most = self.settings.params.state.txn_ops;
+        let rate = self.settings.params.state.write_rps * 0.5;
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.commit.is_some() || l.rereads > 0 || now < l.commit_retry {
+            return;
+        }
+        let token = l.token;
+        let budget = l.fleet.write_budget(rate);
+        let mut txn = Txn {
+            conditions: vec![Condition { key: LEADER_KEY.to_string(), version: token }],
+            changes: Vec::new(),
+        };
+        let mut parts = Vec::new();
+        let mut size = 0;
+        for (id, job) in &mut l.jobs {
+            if job.clean() {
+                continue;
+            }
+            if txn.changes.len() >= most || !budget.take(now, 1.0) {
+                break;
+            }
+            // Page 0 is part of the main record, which is always written.
+            let room = most - txn.changes.len();
+            let pages: BTreeSet<usize> = std::iter::once(0)
+                .chain(job.dirty_pages.iter().copied().filter(|&p| p > 0).take(room - 1))
+                .collect();
+            if job.complete() && !job.is_final() && job.dirty_pages.is_subset(&pages) {
+                job.status = JobStatus::Done;
+            }
+            let mut changes = Vec::new();
+            for &page in &pages {
+                let (key, value, version) = if page == 0 {
+                    (job_key(id), Value::Job(Box::new(job.record())), job.version)
+                } else {
+                    let version = job.page_versions.get(&page).copied().unwrap_or(0);
+                    (page_key(id, page), Value::Page(job.page_record(page)), version)
+                };
+                // JSON is larger than MessagePack, by less than half here.
+                size += wire::encode(&value).len() * 3 / 2 + 200;
+                txn.conditions.push(Condition { key: key.clone(), version });
+                changes.push(Change::Put { key, value, lease: None });
+            }
+            txn.changes.append(&mut changes);
+            parts.push(Part { id: id.clone(), count: job.mutated, pages });
+            if size > TXN_LIMIT / 2 {
+                break;
+            }
+        }
+        if parts.is_empty() {
+            return;
+        }
+        l.serial += 1;
+        let serial = l.serial;
+        l.commit = Some(InFlight { serial, sent: now, parts });
+        self.state(Purpose::Commit { token, serial }, StateOp::Commit(txn));
+    }
+
+    pub(crate) fn on_commit(&mut self, token: u64, serial: u64, r: StateReply) {
+        let now = self.now;
+        let retry = self.d.renew_s / 4.0;
+        let Some(l) = self.lead(token) else { return };
+        let Some(c) = l.commit.take_if(|c| c.serial == serial) else { return };
+        match r {
+            StateReply::Committed(revision) => {
+                for part in &c.parts {
+                    if let Some(job) = l.jobs.get_mut(&part.id) {
+                        job.applied(part.count, &part.pages, revision);
+                    }
+                }
+                for part in &c.parts {
+                    self.settle_final(&part.id);
+                }
+                self.replay_deferred();
+            }
+            StateReply::Conflict(f) => {
+                if f.failed.iter().any(|k| k == LEADER_KEY) {
+                    return self.step_down("leader key is another's");
+                }
+                debug!(?f.failed, "records changed meanwhile");
+                self.reread(token, f.failed);
+            }
+            StateReply::Refused | StateReply::Gone => l.commit_retry = now + retry,
+            _ => {
+                // It may have been applied, or may be later. The stored
+                // versions tell; a late application fails on them.
+                warn!(serial, "outcome of a write unknown, reading back");
+                let keys = c
+                    .parts
+                    .iter()
+                    .flat_map(|p| {
+                        p.pages.iter().map(|&n| if n == 0 { job_key(&p.id) } else { page_key(&p.id, n) })
+                    })
+                    .collect();
+                self.reread(token, keys);
+            }
+        }
+    }
+
+    fn reread(&mut self, token: u64, keys: Vec<String>) {
+        if let Some(l) = self.lead(token) {
+            l.rereads += keys.len() as u32;
+        }
+        for key in keys {
+            self.state(Purpose::Reread { token, key: key.clone() }, StateOp::Get(key));
+        }
+    }
+
+    pub(crate) fn on_reread(&mut self, token: u64, key: &str, r: StateReply) {
+        let now = self.now;
+        let retry = self.d.renew_s / 4.0;
+        let Some(l) = self.lead(token) else { return };
+        match r {
+            StateReply::Item(Item { value, version, .. }) => {
+                l.rereads -= 1;
+                let done = l.rereads == 0;
+                match value {
+                    Value::Job(record) => {
+                        if let Some(job) = l.jobs.get_mut(&record.spec.id) {
+                            job.reconcile(&record, version);
+                        }
+                        l.plan_dirty = true;
+                        let id = record.spec.id.clone();
+                        self.settle_final(&id);
+                    }
+                    Value::Page(record) => {
+                        let rest = key.strip_prefix(PAGE_PREFIX).unwrap_or_default();
+                        if let Some((id, n)) = rest.rsplit_once('/') {
+                            if let (Some(job), Ok(n)) = (l.jobs.get_mut(id), n.parse()) {
+                                job.reconcile_page(n, &record);
+                                job.page_versions.insert(n, version);
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+                if done {
+                    self.replay_deferred();
+                }
+            }
+            StateReply::Missing(_) => {
+                // A page that was never written; its version is 0 still.
+                l.rereads -= 1;
+                if l.rereads == 0 {
+                    self.replay_deferred();
+                }
+            }
+            _ => {
+                // Nothing may be written before this is known: ask again, but
+                // not at once, or an outage becomes a storm of reads.
+                l.commit_retry = now + retry;
+                l.reread_queue.push(key.to_string());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,411 @@
+//! Machines at the cloud: the list, rentals, returns.
+
+use crate::leader::Role;
+use crate::machine::{Life, Machine};
+use crate::record::*;
+use crate::{Budget, CloudOp, CloudReply, Core, Purpose, StateOp, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{info, warn};
+use wire::cloud::*;
+use wire::state::{Change, Condition, Txn};
+
+/// A kind of machine that can be rented: type and whether spot.
+pub type Pool = (String, bool);
+
+#[derive(Default)]
+pub struct Fleet {
+    budget: Option<Budget>,
+    writes: Option<Budget>,
+    pub listing: bool,
+    pub list_at: Time,
+    list_sent: Time,
+    list: Vec<ListedMachine>,
+    pub listed_once: bool,
+    types_busy: bool,
+    /// The rental whose outcome is not known yet.
+    rental: Option<Rental>,
+    /// No capacity there until then, with how often in a row.
+    blocked: BTreeMap<(String, String, bool), (Time, u32)>,
+    deleting: bool,
+    delete_at: Time,
+    /// Machines wanted beyond those there are, by pool.
+    pub wanted: BTreeMap<Pool, u32>,
+    /// Machines each pool should keep.
+    pub target: BTreeMap<Pool, u32>,
+    pub usage: BTreeMap<Pool, f64>,
+    pub usage_at: Time,
+}
+
+struct Rental {
+    rent: Rent,
+    asked: Time,
+    in_flight: bool,
+    retry_at: Time,
+}
+
+impl Fleet {
+    pub fn write_budget(&mut self, rate: f64) -> &mut Budget {
+        self.writes.get_or_insert_with(|| Budget::new(rate))
+    }
+
+    /// Whether any zone may still have such machines.
+    pub fn available(&self, now: Time, t: &MachineType, spot: bool) -> bool {
+        t.zones.iter().any(|z| self.zone_open(now, &t.name, z, spot))
+    }
+
+    fn zone_open(&self, now: Time, name: &str, zone: &str, spot: bool) -> bool {
+        self.blocked
+            .get(&(name.to_string(), zone.to_string(), spot))
+            .is_none_or(|(until, _)| now >= *until)
+    }
+}
+
+/// A boot that takes this many times the usual is taken for stuck.
+const BOOT_STUCK: f64 = 3.0;
+
+impl Core {
+    fn cloud_budget(&mut self) -> bool {
+        let (now, rate) = (self.now, self.settings.params.cloud.rps * 0.9);
+        let Role::Leader(l) = &mut self.role else { return false };
+        l.fleet.budget.get_or_insert_with(|| Budget::new(rate)).take(now, 1.0)
+    }
+
+    pub(crate) fn fleet_on_time(&mut self) {
+        let now = self.now;
+        let lag = self.settings.params.cloud.list_lag_s;
+        let Role::Leader(l) = &self.role else { return };
+        let token = l.token;
+        let types_due = !l.fleet.types_busy && l.types_at.is_none_or(|t| now - t > 60.0);
+        if types_due && self.cloud_budget() {
+            self.cloud(Purpose::CloudTypes { token }, CloudOp::Types);
+            if let Role::Leader(l) = &mut self.role {
+                l.fleet.types_busy = true;
+                l.types_at = Some(now);
+            }
+        }
+        let Role::Leader(l) = &self.role else { return };
+        if !l.fleet.listing && now >= l.fleet.list_at && self.cloud_budget() {
+            let Role::Leader(l) = &mut self.role else { return };
+            l.fleet.listing = true;
+            l.fleet.list_sent = now;
+            l.fleet.list.clear();
+            l.fleet.list_at = now + (lag * 0.75).max(2.0 / self.settings.params.cloud.rps);
+            self.cloud(Purpose::CloudList { token }, CloudOp::List { after: None });
+        }
+        self.mark_leaving();
+        self.delete_on_time();
+        self.rent_on_time();
+    }
+
+    pub(crate) fn on_cloud(&mut self, p: Purpose, r: CloudReply) {
+        match p {
+            Purpose::CloudTypes { token } => self.on_types(token, r),
+            Purpose::CloudList { token } => self.on_list(token, r),
+            Purpose::Rent { token } => self.on_rent(token, r),
+            Purpose::Delete { token, machines } => self.on_delete(token, &machines, r),
+            _ => {}
+        }
+    }
+
+    fn on_types(&mut self, token: u64, r: CloudReply) {
+        let now = self.now;
+        let Some(l) = self.lead(token) else { return };
+        l.fleet.types_busy = false;
+        let CloudReply::Types(t) = r else {
+            l.types_at = Some(now - 58.0);
+            return;
+        };
+        let sane = |x: f64| x.is_finite() && x >= 0.0;
+        let valid = !t.types.is_empty()
+            && t.types.iter().all(|t| {
+                [t.cores, t.accelerators, t.memory_gb, t.price, t.spot_price, t.boot_s, t.fetch_gb_per_s, t.cache_gb]
+                    .into_iter()
+                    .all(sane)
+                    && !t.zones.is_empty()
+            });
+        if !valid {
+            warn!("catalogue of machine types makes no sense, ignored");
+            return;
+        }
+        l.plan_dirty = true;
+        let first = self.types.is_none();
+        self.types = Some(t.types.clone());
+        if first {
+            info!(types = t.types.len(), "machine types known");
+            // Kept in the state service, so that a node can decide on
+            // submissions while the cloud does not answer.
+            let txn = Txn {
+                conditions: vec![Condition { key: LEADER_KEY.to_string(), version: token }],
+                changes: vec![Change::Put {
+                    key: TYPES_KEY.to_string(),
+                    value: Value::Types(t.types),
+                    lease: None,
+                }],
+            };
+            self.state(Purpose::TypesWrite, StateOp::Commit(txn));
+        }
+    }
+
+    fn on_list(&mut self, token: u64, r: CloudReply) {
+        let now = self.now;
+        let lag = self.settings.params.cloud.list_lag_s;
+        let Some(l) = self.lead(token) else { return };
+        let CloudReply::List(page) = r else {
+            l.fleet.listing = false;
+            return;
+        };
+        let after = page.machines.last().map(|m| m.id.clone());
+        l.fleet.list.extend(page.machines);
+        if page.more && after.is_some() && l.fleet.list.len() < 20_000 {
+            self.cloud(Purpose::CloudList { token }, CloudOp::List { after });
+            return;
+        }
+        let Some(l) = self.lead(token) else { return };
+        l.fleet.listing = false;
+        let first = !l.fleet.listed_once;
+        l.fleet.listed_once = true;
+        let list = std::mem::take(&mut l.fleet.list);
+        let mut failed = Vec::new();
+        for item in &list {
+            let known = l.machines.contains_key(&item.id);
+            let m = l.machines.entry(item.id.clone()).or_insert_with(|| {
+                Machine::new(&item.id, &item.machine_type, &item.zone, item.spot, now - item.age_s)
+            });
+            if !known && !first {
+                info!(machine = %item.id, "unexpected machine in the list, adopted");
+            }
+            m.listed = true;
+            if m.machine_type.is_empty() {
+                m.machine_type.clone_from(&item.machine_type);
+                m.zone.clone_from(&item.zone);
+                m.spot = item.spot;
+            }
+            if m.addr.is_empty() {
+                if let Some(a) = &item.addr {
+                    m.addr.clone_from(a);
+                }
+            }
+            if item.state == MachineState::Failed && m.life != Life::Leaving {
+                failed.push(item.id.clone());
+            }
+        }
+        let names: BTreeSet<&str> = list.iter().map(|m| m.id.as_str()).collect();
+        // A list is at most twice the lag old: a machine known for longer
+        // that it lacks is gone, with everything on it.
+        let settle = 2.0 * lag + 2.0;
+        let sent = l.fleet.list_sent;
+        let gone: Vec<String> = l
+            .machines
+            .values()
+            .filter(|m| !names.contains(m.id.as_str()) && m.listed && sent - m.since > settle)
+            .map(|m| m.id.clone())
+            .collect();
+        for id in &failed {
+            if let Some(m) = l.machines.get_mut(id) {
+                m.life = Life::Leaving;
+                m.sick = true;
+            }
+        }
+        l.plan_dirty = true;
+        for id in gone {
+            info!(machine = %id, "machine is gone");
+            self.lose_machine(&id, true);
+        }
+    }
+
+    /// Machines to be given back: faulty ones, boots that are stuck, idle
+    /// ones beyond the target.
+    fn mark_leaving(&mut self) {
+        let now = self.now;
+        let types = self.types.clone().unwrap_or_default();
+        let entitled = self.entitled();
+        let Role::Leader(l) = &mut self.role else { return };
+        if !entitled {
+            return;
+        }
+        let mut used: BTreeMap<String, u32> = BTreeMap::new();
+        for p in l.jobs.values().flat_map(|j| j.places.values()) {
+            *used.entry(p.machine.clone()).or_insert(0) += 1;
+        }
+        let mut count: BTreeMap<Pool, u32> = BTreeMap::new();
+        for m in l.machines.values().filter(|m| m.takes_work()) {
+            *count.entry((m.machine_type.clone(), m.spot)).or_insert(0) += 1;
+        }
+        let mut idle: Vec<(Time, String)> = Vec::new();
+        for m in l.machines.values_mut() {
+            let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
+            if used.contains_key(&m.id) {
+                m.idle_since = now;
+            }
+            match m.life {
+                Life::Booting if now - m.since > boot * BOOT_STUCK => {
+                    info!(machine = %m.id, "boot is stuck, giving it back");
+                    m.life = Life::Leaving;
+                }
+                Life::Up if m.sick && !used.contains_key(&m.id) => m.life = Life::Leaving,
+                Life::Up
+                    if m.heard.is_some()
+                        && m.tasks.is_empty()
+                        && m.notice_until.is_none()
+                        && now - m.idle_since > boot.max(20.0) * 0.75 =>
+                {
+                    idle.push((m.idle_since, m.id.clone()));
+                }
+                _ => {}
+            }
+        }
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, id) in idle {
+            let Some(m) = l.machines.get_mut(&id) else { continue };
+            let pool = (m.machine_type.clone(), m.spot);
+            let have = count.entry(pool.clone()).or_insert(0);
+            if *have > l.fleet.target.get(&pool).copied().unwrap_or(0) {
+                *have -= 1;
+                info!(machine = %id, kind = %pool.0, spot = pool.1, "idle beyond the target, giving it back");
+                m.life = Life::Leaving;
+            }
+        }
+    }
+
+    fn delete_on_time(&mut self) {
+        let now = self.now;
+        let entitled = self.entitled();
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.fleet.deleting || now < l.fleet.delete_at || !entitled {
+            return;
+        }
+        let names: Vec<String> = l
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Leaving)
+            .map(|m| m.id.clone())
+            .take(MOST_DELETED)
+            .collect();
+        if names.is_empty() || !self.cloud_budget() {
+            return;
+        }
+        let Role::Leader(l) = &mut self.role else { return };
+        l.fleet.deleting = true;
+        let token = l.token;
+        self.cloud(Purpose::Delete { token, machines: names.clone() }, CloudOp::Delete(names));
+    }
+
+    fn on_delete(&mut self, token: u64, machines: &[String], r: CloudReply) {
+        let now = self.now;
+        let Some(l) = self.lead(token) else { return };
+        l.fleet.deleting = false;
+        if r == CloudReply::Done {
+            for id in machines {
+                self.lose_machine(id, true);
+            }
+        } else {
+            l.fleet.delete_at = now + 1.0;
+        }
+    }
+
+    fn rent_on_time(&mut self) {
+        let now = self.now;
+        let entitled = self.entitled();
+        let types = self.types.clone().unwrap_or_default();
+        let Role::Leader(l) = &mut self.role else { return };
+        let token = l.token;
+        if let Some(r) = &l.fleet.rental {
+            if r.in_flight || now < r.retry_at {
+                return;
+            }
+        } else {
+            // Unknown machines would be rented twice: the list comes first.
+            if !entitled || !l.fleet.listed_once {
+                return;
+            }
+            let mut choice = None;
+            for ((name, spot), n) in &l.fleet.wanted {
+                let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
+                if *n == 0 {
+                    continue;
+                }
+                let mut zones: Vec<(usize, &String)> = t
+                    .zones
+                    .iter()
+                    .filter(|z| l.fleet.zone_open(now, name, z, *spot))
+                    .map(|z| {
+                        let there = l
+                            .machines
+                            .values()
+                            .filter(|m| m.zone == **z && m.machine_type == *name && m.spot == *spot)
+                            .count();
+                        (there, z)
+                    })
+                    .collect();
+                zones.sort();
+                if let Some((_, zone)) = zones.first() {
+                    let part = n.div_ceil(zones.len() as u32).clamp(1, MOST_RENTED);
+                    choice = Some((name.clone(), *spot, (*zone).clone(), part));
+                    break;
+                }
+            }
+            let Some((machine_type, spot, zone, count)) = choice else { return };
+            l.booking += 1;
+            let request = format!("r-{token}-{}", l.booking);
+            l.fleet.rental = Some(Rental {
+                rent: Rent { request, machine_type, zone, spot, count },
+                asked: now,
+                in_flight: false,
+                retry_at: now,
+            });
+        }
+        if !self.cloud_budget() {
+            return;
+        }
+        let Role::Leader(l) = &mut self.role else { return };
+        if let Some(r) = &mut l.fleet.rental {
+            r.in_flight = true;
+            let rent = r.rent.clone();
+            self.cloud(Purpose::Rent { token }, CloudOp::Rent(rent));
+        }
+    }
+
+    fn on_rent(&mut self, token: u64, r: CloudReply) {
+        let now = self.now;
+        let Some(l) = self.lead(token) else { return };
+        let Some(mut rental) = l.fleet.rental.take() else { return };
+        let rent = rental.rent.clone();
+        let key = (rent.machine_type.clone(), rent.zone.clone(), rent.spot);
+        match r {
+            CloudReply::Machines(got) => {
+                info!(kind = %rent.machine_type, zone = %rent.zone, spot = rent.spot,
+                      asked = rent.count, got = got.machines.len(), "rented");
+                for id in &got.machines {
+                    l.machines.entry(id.clone()).or_insert_with(|| {
+                        Machine::new(id, &rent.machine_type, &rent.zone, rent.spot, rental.asked)
+                    });
+                }
+                let pool = (rent.machine_type.clone(), rent.spot);
+                if let Some(n) = l.fleet.wanted.get_mut(&pool) {
+                    *n = n.saturating_sub(got.machines.len() as u32);
+                }
+                if (got.machines.len() as u32) < rent.count {
+                    l.fleet.blocked.insert(key, (now + 10.0, 1));
+                } else {
+                    l.fleet.blocked.remove(&key);
+                }
+                l.plan_dirty = true;
+            }
+            CloudReply::NoCapacity => {
+                let often = l.fleet.blocked.get(&key).map_or(0, |b| b.1) + 1;
+                let pause = 5.0 * f64::from(often.min(4));
+                info!(kind = %rent.machine_type, zone = %rent.zone, spot = rent.spot, "no capacity");
+                l.fleet.blocked.insert(key, (now + pause, often));
+                l.plan_dirty = true;
+            }
+            CloudReply::Malformed => warn!("rental refused as malformed"),
+            // Refused or unknown: the same request again, under its name,
+            // until its outcome is known.
+            _ => {
+                rental.in_flight = false;
+                rental.retry_at = now + 1.0;
+                l.fleet.rental = Some(rental);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/io.rs
@@ -0,0 +1,100 @@
+//! What goes into the core and what comes out of it.
+
+use crate::record::Value;
+use wire::cloud::{MachineList, MachineTypes, Machines, Rent};
+use wire::state::{Conflict, Events, Item, Page, Txn};
+use wire::worker::{DirectCommands, Report};
+
+/// Seconds on the steady clock.
+pub type Time = f64;
+pub type CallId = u64;
+pub type RequestId = u64;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Request {
+    Submit(Vec<u8>),
+    Poll(String),
+    Cancel(String),
+    Report(Vec<u8>),
+    Up,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateOp {
+    Get(String),
+    List { prefix: String, after: Option<String> },
+    Commit(Txn<Value>),
+    Grant { ttl_ms: u64 },
+    Renew(u64),
+    Revoke(u64),
+    Watch { prefix: String, after: u64, wait_ms: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateReply {
+    Item(Item<Value>),
+    Missing(u64),
+    Page(Page<Value>),
+    Committed(u64),
+    Conflict(Conflict),
+    Granted(u64),
+    Done,
+    Events(Events<Value>),
+    /// 404 for a lease, 410 for a watch, 400 "no such lease" for a commit.
+    Gone,
+    /// Certainly not executed: 429, 503, no connection.
+    Refused,
+    /// Executed, not executed or yet to be executed.
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudOp {
+    Types,
+    List { after: Option<String> },
+    Rent(Rent),
+    Delete(Vec<String>),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudReply {
+    Types(MachineTypes),
+    List(MachineList),
+    Machines(Machines),
+    NoCapacity,
+    Done,
+    Malformed,
+    Refused,
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum WorkerReply {
+    /// 200 or 409, with the worker's report.
+    Report { executed: bool, report: Box<Report> },
+    Failed,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    Tick,
+    Request(RequestId, Request),
+    State(CallId, StateReply),
+    Cloud(CallId, CloudReply),
+    Worker(CallId, WorkerReply),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    Answer(RequestId, Answer),
+    State(CallId, StateOp),
+    Cloud(CallId, CloudOp),
+    Worker(CallId, String, DirectCommands),
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,310 @@
+//! A job as the leader holds it, kept in step with its stored record.
+
+use crate::io::Time;
+use crate::record::{merge_bits, pack_bits, JobRecord, PageRecord, StoredPlacement};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::job::{JobSpec, JobStatus, Shape};
+use wire::worker::TaskState;
+
+/// A task's place on a machine. It counts for quota, zones and "ran twice"
+/// from the moment it exists until proof that the task is not there.
+#[derive(Debug, Clone)]
+pub struct Place {
+    pub attempt: u64,
+    pub machine: String,
+    /// The job's mutation count when it was made: it is committed once a
+    /// write of that count or a later one is.
+    pub born: u64,
+    pub committed: bool,
+    /// Made by an earlier leader, whose launch may or may not be on its way.
+    pub inherited: bool,
+    /// A launch went out in the answer to a report.
+    pub sent: bool,
+    pub seen: Option<TaskState>,
+    pub placed_at: Time,
+    pub running_since: Option<Time>,
+    /// Being stopped since then, with that grace.
+    pub stopping: Option<(Time, f64)>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub spec: JobSpec,
+    pub at: f64,
+    /// Submission on this node's steady clock.
+    pub submitted: Time,
+    pub status: JobStatus,
+    pub done: Vec<bool>,
+    pub done_count: u32,
+    pub attempt: u64,
+    pub per_page: u32,
+    pub places: BTreeMap<u32, Place>,
+    pub version: u64,
+    pub page_versions: BTreeMap<usize, u64>,
+    /// Counts changes; `stored` is the count that the stored record shows.
+    pub mutated: u64,
+    pub stored: u64,
+    pub dirty_pages: BTreeSet<usize>,
+    pub not_before: Time,
+    /// Failures in a row, and the machines they were on.
+    pub failures: u32,
+    pub failed_on: BTreeSet<String>,
+    /// A gang attempt that is being taken down.
+    pub aborting: bool,
+    /// Progress kept, in seconds of run time (planning only).
+    pub progress_s: f64,
+    pub first_start: Option<Time>,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, at: f64, submitted: Time, per_page: u32) -> Self {
+        let tasks = spec.tasks as usize;
+        Job {
+            spec,
+            at,
+            submitted,
+            status: JobStatus::Pending,
+            done: vec![false; tasks],
+            done_count: 0,
+            attempt: 0,
+            per_page: per_page.max(4),
+            places: BTreeMap::new(),
+            version: 0,
+            page_versions: BTreeMap::new(),
+            mutated: 0,
+            stored: 0,
+            dirty_pages: BTreeSet::new(),
+            not_before: 0.0,
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            aborting: false,
+            progress_s: 0.0,
+            first_start: None,
+        }
+    }
+
+    pub fn load(record: &JobRecord, version: u64, submitted: Time) -> Self {
+        let mut job = Job::new(record.spec.clone(), record.at, submitted, record.per_page);
+        job.version = version;
+        job.status = record.status;
+        job.attempt = record.attempt;
+        job.load_page(0, &record.page, 0, submitted);
+        job
+    }
+
+    /// Takes over a page of an earlier leader's.
+    pub fn load_page(&mut self, page: usize, record: &PageRecord, version: u64, now: Time) {
+        if page > 0 {
+            self.page_versions.insert(page, version);
+        }
+        self.merge_done(page, &record.done);
+        for p in &record.places {
+            self.places.insert(p.task, Place {
+                attempt: p.attempt,
+                machine: p.machine.clone(),
+                born: 0,
+                committed: true,
+                inherited: true,
+                sent: true,
+                seen: None,
+                placed_at: now,
+                running_since: None,
+                stopping: None,
+            });
+            self.attempt = self.attempt.max(p.attempt);
+        }
+    }
+
+    fn range(&self, page: usize) -> std::ops::Range<usize> {
+        let per = self.per_page as usize;
+        let end = ((page + 1) * per).min(self.done.len());
+        (page * per).min(end)..end
+    }
+
+    fn merge_done(&mut self, page: usize, text: &str) {
+        let range = self.range(page);
+        merge_bits(&mut self.done[range], text);
+        self.done_count = self.done.iter().filter(|&&d| d).count() as u32;
+    }
+
+    pub fn page_of(&self, task: u32) -> usize {
+        (task / self.per_page) as usize
+    }
+
+    /// Notes a change of `task`'s state that has to be stored.
+    pub fn touch(&mut self, task: u32) {
+        self.mutated += 1;
+        self.dirty_pages.insert(self.page_of(task));
+    }
+
+    pub fn touch_main(&mut self) {
+        self.mutated += 1;
+        self.dirty_pages.insert(0);
+    }
+
+    pub fn clean(&self) -> bool {
+        self.mutated == self.stored
+    }
+
+    pub fn is_final(&self) -> bool {
+        self.status.is_final()
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done_count as usize == self.done.len()
+    }
+
+    pub fn finish_task(&mut self, task: u32) {
+        if let Some(d) = self.done.get_mut(task as usize) {
+            if !*d {
+                *d = true;
+                self.done_count += 1;
+                self.touch(task);
+            }
+        }
+    }
+
+    pub fn add_place(&mut self, task: u32, machine: &str, attempt: u64, now: Time) {
+        self.attempt = self.attempt.max(attempt);
+        self.touch(task);
+        self.places.insert(task, Place {
+            attempt,
+            machine: machine.to_string(),
+            born: self.mutated,
+            committed: false,
+            inherited: false,
+            sent: false,
+            seen: None,
+            placed_at: now,
+            running_since: None,
+            stopping: None,
+        });
+    }
+
+    /// Removes a place. The caller has proof that the task is not on the
+    /// machine and will not start there.
+    pub fn release(&mut self, task: u32) {
+        if self.places.remove(&task).is_some() {
+            self.touch(task);
+        }
+        if self.places.is_empty() {
+            self.aborting = false;
+        }
+    }
+
+    /// Unfinished tasks without a place; a gang's only when nothing of its
+    /// last attempt is left.
+    pub fn waiting(&self, most: usize) -> Vec<u32> {
+        if self.is_final() || (self.spec.shape == Shape::Gang && !self.places.is_empty()) {
+            return Vec::new();
+        }
+        (0..self.spec.tasks)
+            .filter(|t| !self.done[*t as usize] && !self.places.contains_key(t))
+            .take(most)
+            .collect()
+    }
+
+    fn shown_status(&self) -> JobStatus {
+        if self.is_final() {
+            self.status
+        } else if self.places.values().any(|p| p.seen.is_some()) {
+            JobStatus::Running
+        } else {
+            JobStatus::Pending
+        }
+    }
+
+    pub fn page_record(&self, page: usize) -> PageRecord {
+        let range = self.range(page);
+        let (from, to) = (range.start as u32, range.end as u32);
+        PageRecord {
+            done: pack_bits(&self.done[range]),
+            places: self
+                .places
+                .range(from..to.max(from))
+                .map(|(&task, p)| StoredPlacement { task, attempt: p.attempt, machine: p.machine.clone() })
+                .collect(),
+        }
+    }
+
+    /// The record as it should be stored. `status` is final only once every
+    /// task's bit is set.
+    pub fn record(&self) -> JobRecord {
+        JobRecord {
+            spec: self.spec.clone(),
+            at: self.at,
+            status: self.shown_status(),
+            done: self.done_count,
+            running: self.places.values().filter(|p| p.running_since.is_some()).count() as u32,
+            attempt: self.attempt,
+            per_page: self.per_page,
+            page: self.page_record(0),
+        }
+    }
+
+    /// A write of mutation count `count`, holding `pages`, was applied.
+    pub fn applied(&mut self, count: u64, pages: &BTreeSet<usize>, revision: u64) {
+        // A reread may have shown a later version already (a cancellation on
+        // top of this write): versions never go back.
+        self.version = self.version.max(revision);
+        for &p in pages.iter().filter(|&&p| p > 0) {
+            let v = self.page_versions.entry(p).or_insert(0);
+            *v = (*v).max(revision);
+        }
+        let per = self.per_page;
+        for (task, place) in self.places.iter_mut() {
+            if place.born <= count && pages.contains(&((task / per) as usize)) {
+                place.committed = true;
+            }
+        }
+        if self.mutated == count {
+            self.dirty_pages.retain(|p| !pages.contains(p));
+            if self.dirty_pages.is_empty() {
+                self.stored = count;
+            }
+        }
+    }
+
+    /// Brings the job into step with its main record as read from the store:
+    /// a final status there wins, a placement is committed if it stands there,
+    /// and whatever differs is written again.
+    pub fn reconcile(&mut self, record: &JobRecord, version: u64) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        // A stored final status wins even over one that this leader was about
+        // to store: somebody may have been told of it.
+        if record.status.is_final() {
+            self.status = record.status;
+        }
+        self.attempt = self.attempt.max(record.attempt);
+        self.reconcile_page(0, &record.page);
+        if self.record() != *record {
+            self.touch_main();
+        }
+    }
+
+    pub fn reconcile_page(&mut self, page: usize, record: &PageRecord) {
+        let before = self.done_count;
+        self.merge_done(page, &record.done);
+        let per = self.per_page;
+        for (task, place) in self.places.iter_mut() {
+            if (task / per) as usize == page && !place.committed {
+                place.committed = record
+                    .places
+                    .iter()
+                    .any(|s| s.task == *task && s.attempt == place.attempt && s.machine == place.machine);
+            }
+        }
+        if before != self.done_count || page > 0 {
+            self.mutated += 1;
+            self.dirty_pages.insert(page);
+        }
+    }
+
+    /// Whether a launch or its task may be on some machine.
+    pub fn may_run(place: &Place) -> bool {
+        place.committed && (place.sent || place.seen.is_some())
+    }
+}
--- /dev/null
+++ b/crates/core/src/leader.rs
@@ -0,0 +1,465 @@
+//! Who leads: one key under a short lease. The revision of the write that
+//! created the key is the token of that leadership.
+
+use crate::fleet::Fleet;
+use crate::job::Job;
+use crate::machine::Machine;
+use crate::record::*;
+use crate::workers::Held;
+use crate::{CallId, Core, Purpose, StateOp, StateReply, Time};
+use std::collections::{BTreeMap, VecDeque};
+use tracing::{debug, info, warn};
+use wire::state::{Change, Condition, Event, Item, Txn};
+
+/// A watch on a prefix, kept open.
+#[derive(Debug, Default, Clone)]
+pub struct Follow {
+    pub busy: bool,
+    /// Revision up to which everything was seen; 0: read the keys first.
+    pub revision: u64,
+    pub retry_at: Time,
+}
+
+pub enum Role {
+    Follower,
+    Leader(Box<Lead>),
+}
+
+/// What the leader knows. Rebuilt from records and reports at each takeover.
+pub struct Lead {
+    pub token: u64,
+    pub lease: u64,
+    pub since: Time,
+    /// When the last renewal that was confirmed had been sent.
+    pub confirmed: Time,
+    pub renewing: Option<CallId>,
+    pub next_renew: Time,
+    pub loaded: bool,
+    pub loading: bool,
+    pub load_prefix: &'static str,
+    pub load_after: Option<String>,
+    pub load_retry: Time,
+    pub load_revision: Option<u64>,
+    pub jobs: BTreeMap<String, Job>,
+    pub machines: BTreeMap<String, Machine>,
+    pub watch: Follow,
+    /// Records seen by the watch while a write of the same job was in flight.
+    pub deferred: VecDeque<(String, Value, u64)>,
+    pub commit: Option<crate::commit::InFlight>,
+    pub serial: u64,
+    pub rereads: u32,
+    pub reread_queue: Vec<String>,
+    pub commit_retry: Time,
+    pub held: Vec<Held>,
+    pub plan_dirty: bool,
+    pub planned_at: Time,
+    pub fleet: Fleet,
+    pub classes: BTreeMap<String, crate::planning::ClassStats>,
+    pub booking: u64,
+    pub types_at: Option<Time>,
+}
+
+impl Lead {
+    fn new(token: u64, lease: u64, now: Time, confirmed: Time) -> Self {
+        Lead {
+            token,
+            lease,
+            since: now,
+            confirmed,
+            renewing: None,
+            next_renew: now,
+            loaded: false,
+            loading: false,
+            load_prefix: JOB_PREFIX,
+            load_after: None,
+            load_retry: now,
+            load_revision: None,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            watch: Follow::default(),
+            deferred: VecDeque::new(),
+            commit: None,
+            serial: 0,
+            rereads: 0,
+            reread_queue: Vec::new(),
+            commit_retry: now,
+            held: Vec::new(),
+            plan_dirty: true,
+            planned_at: now - 1.0,
+            fleet: Fleet::default(),
+            classes: BTreeMap::new(),
+            booking: 0,
+            types_at: None,
+        }
+    }
+}
+
+impl Core {
+    /// Keeps the leader key in sight and claims it when it is gone.
+    pub(crate) fn follow_leader(&mut self) {
+        let now = self.now;
+        if self.types.is_none() && now >= self.types_look_at {
+            self.types_look_at = now + self.d.renew_s;
+            self.state(Purpose::TypesLook, StateOp::Get(TYPES_KEY.to_string()));
+        }
+        if !self.leader_watch.busy && now >= self.leader_watch.retry_at {
+            self.leader_watch.busy = true;
+            if self.leader_watch.revision == 0 {
+                self.state(Purpose::LeaderLook, StateOp::Get(LEADER_KEY.to_string()));
+            } else {
+                let wait_ms = (self.d.leader_ttl_s * 1000.0) as u64;
+                let after = self.leader_watch.revision;
+                self.state(
+                    Purpose::LeaderWatch,
+                    StateOp::Watch { prefix: NODE_PREFIX.to_string(), after, wait_ms },
+                );
+            }
+        }
+        let vacant = self.known_leader.is_none() && self.leader_watch.revision > 0;
+        if vacant && !self.claiming && !self.is_leader() && now >= self.claim_at {
+            self.claiming = true;
+            self.claim_at = now;
+            let ttl_ms = (self.d.leader_ttl_s * 1000.0) as u64;
+            self.state(Purpose::Grant, StateOp::Grant { ttl_ms });
+        }
+    }
+
+    fn look_again(&mut self, pause: f64) {
+        self.leader_watch = Follow { busy: false, revision: 0, retry_at: self.now + pause };
+    }
+
+    pub(crate) fn on_leader_look(&mut self, r: StateReply) {
+        self.leader_watch.busy = false;
+        match r {
+            StateReply::Item(Item { value: Value::Leader(l), version, .. }) => {
+                self.leader_watch.revision = version;
+                self.saw_leader(Some((l.node, version)));
+            }
+            StateReply::Missing(revision) => {
+                self.leader_watch.revision = revision.max(1);
+                self.saw_leader(None);
+            }
+            _ => self.look_again(self.d.renew_s / 2.0),
+        }
+    }
+
+    fn saw_leader(&mut self, leader: Option<(String, u64)>) {
+        if let Role::Leader(l) = &self.role {
+            let ours = matches!(&leader, Some((n, t)) if *t == l.token && *n == self.settings.node);
+            let newer = match &leader {
+                Some((_, t)) => *t > l.token,
+                None => true,
+            };
+            if !ours && newer {
+                self.step_down("another leader was seen, or none");
+            }
+        }
+        self.known_leader = leader;
+    }
+
+    pub(crate) fn on_leader_watch(&mut self, r: StateReply) {
+        self.leader_watch.busy = false;
+        match r {
+            StateReply::Events(e) => {
+                for event in e.events {
+                    match event {
+                        Event::Put { key, value: Value::Leader(l), version } if key == LEADER_KEY => {
+                            self.saw_leader(Some((l.node, version)));
+                        }
+                        Event::Put { value: Value::Types(t), .. } => self.types = Some(t),
+                        Event::Delete { key, version } if key == LEADER_KEY => {
+                            let stale = matches!(&self.known_leader, Some((_, t)) if *t > version);
+                            if !stale {
+                                self.saw_leader(None);
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                self.leader_watch.revision = self.leader_watch.revision.max(e.revision);
+            }
+            _ => self.look_again(self.d.renew_s / 4.0),
+        }
+    }
+
+    pub(crate) fn on_types_look(&mut self, r: StateReply) {
+        if let StateReply::Item(Item { value: Value::Types(t), .. }) = r {
+            self.types = Some(t);
+        }
+    }
+
+    pub(crate) fn on_grant(&mut self, r: StateReply) {
+        let StateReply::Granted(lease) = r else {
+            self.claiming = false;
+            self.claim_at = self.now + self.d.renew_s / 2.0;
+            return;
+        };
+        let txn = Txn {
+            conditions: vec![Condition { key: LEADER_KEY.to_string(), version: 0 }],
+            changes: vec![Change::Put {
+                key: LEADER_KEY.to_string(),
+                value: Value::Leader(LeaderRecord { node: self.settings.node.clone() }),
+                lease: Some(lease),
+            }],
+        };
+        self.state(Purpose::Claim { lease }, StateOp::Commit(txn));
+    }
+
+    pub(crate) fn on_claim(&mut self, lease: u64, r: StateReply) {
+        self.claiming = false;
+        match r {
+            StateReply::Committed(token) => {
+                info!(token, "leading");
+                self.known_leader = Some((self.settings.node.clone(), token));
+                // `claim_at` is when the lease was asked for: its time cannot
+                // have begun earlier.
+                self.role = Role::Leader(Box::new(Lead::new(token, lease, self.now, self.claim_at)));
+            }
+            _ => {
+                self.state(Purpose::Revoke, StateOp::Revoke(lease));
+                self.claim_at = self.now + self.d.renew_s / 4.0;
+                if !self.leader_watch.busy {
+                    self.look_again(0.0);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn step_down(&mut self, why: &str) {
+        if let Role::Leader(l) = std::mem::replace(&mut self.role, Role::Follower) {
+            warn!(token = l.token, why, "no longer leading");
+            for h in l.held {
+                self.refuse(h.request, 503, "no longer leading");
+            }
+            self.known_leader = None;
+            if !self.leader_watch.busy {
+                self.look_again(0.0);
+            }
+            self.claim_at = self.now + self.d.renew_s;
+        }
+    }
+
+    pub(crate) fn on_renew(&mut self, token: u64, sent: Time, r: StateReply) {
+        let (now, renew_s) = (self.now, self.d.renew_s);
+        let Some(l) = self.lead(token) else { return };
+        l.renewing = None;
+        match r {
+            StateReply::Done => {
+                l.confirmed = l.confirmed.max(sent);
+                l.next_renew = sent + renew_s;
+            }
+            StateReply::Gone => self.step_down("lease ended"),
+            _ => l.next_renew = now + renew_s / 4.0,
+        }
+    }
+
+    /// Whether the lease may still be trusted for commands.
+    pub(crate) fn entitled(&self) -> bool {
+        match &self.role {
+            Role::Leader(l) => l.loaded && self.now < l.confirmed + self.d.leader_ttl_s * 0.99,
+            Role::Follower => false,
+        }
+    }
+
+    pub(crate) fn lead_on_time(&mut self) {
+        let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return };
+        let token = l.token;
+        if l.renewing.is_none() && now >= l.next_renew {
+            let lease = l.lease;
+            let id = self.state(Purpose::Renew { token, sent: now }, StateOp::Renew(lease));
+            if let Some(l) = self.lead(token) {
+                l.renewing = Some(id);
+            }
+        }
+        self.load_on_time(token);
+        let Some(l) = self.lead(token) else { return };
+        if l.loaded {
+            if !l.watch.busy && now >= l.watch.retry_at {
+                l.watch.busy = true;
+                let after = l.watch.revision;
+                let wait_ms = (self.d.leader_ttl_s * 500.0) as u64;
+                self.state(
+                    Purpose::JobWatch { token },
+                    StateOp::Watch { prefix: JOB_PREFIX.to_string(), after, wait_ms },
+                );
+            }
+            let created = std::mem::take(&mut self.users.created);
+            for (id, record, version) in created {
+                self.saw_record(&job_key(&id), Value::Job(Box::new(record)), version);
+            }
+            self.machines_on_time();
+            self.plan_on_time();
+            self.fleet_on_time();
+            self.commit_on_time();
+            self.release_held();
+        }
+    }
+
+    fn load_on_time(&mut self, token: u64) {
+        let now = self.now;
+        let Some(l) = self.lead(token) else { return };
+        if l.loaded || l.loading || now < l.load_retry {
+            return;
+        }
+        l.loading = true;
+        let op = StateOp::List { prefix: l.load_prefix.to_string(), after: l.load_after.clone() };
+        self.state(Purpose::Load { token }, op);
+    }
+
+    pub(crate) fn on_load(&mut self, token: u64, r: StateReply) {
+        let (now, wall) = (self.now, self.wall);
+        let renew_s = self.d.renew_s;
+        let mut finals = Vec::new();
+        let Some(l) = self.lead(token) else { return };
+        l.loading = false;
+        let StateReply::Page(page) = r else {
+            l.load_retry = now + renew_s / 4.0;
+            return;
+        };
+        // The watch starts from the first page's revision: whatever changed
+        // after it is seen again.
+        l.load_revision.get_or_insert(page.revision);
+        for item in page.items {
+            l.load_after = Some(item.key.clone());
+            match item.value {
+                Value::Job(record) => {
+                    let id = record.spec.id.clone();
+                    if record.status.is_final() && record.page.places.is_empty() {
+                        finals.push((id, record.status, record.done));
+                    } else {
+                        let submitted = now - (wall - record.at).max(0.0);
+                        l.jobs.insert(id, Job::load(&record, item.version, submitted));
+                    }
+                }
+                Value::Page(record) => {
+                    let rest = item.key.strip_prefix(PAGE_PREFIX).unwrap_or_default();
+                    if let Some((id, number)) = rest.rsplit_once('/') {
+                        if let (Some(job), Ok(n)) = (l.jobs.get_mut(id), number.parse()) {
+                            job.load_page(n, &record, item.version, now);
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        if !page.more {
+            l.load_after = None;
+            if l.load_prefix == JOB_PREFIX {
+                l.load_prefix = PAGE_PREFIX;
+            } else {
+                l.loaded = true;
+                l.watch.revision = l.load_revision.unwrap_or(page.revision);
+                let placed: usize = l.jobs.values().map(|j| j.places.len()).sum();
+                info!(token, jobs = l.jobs.len(), placed, "records read");
+            }
+        }
+        for (id, status, done) in finals {
+            self.finals.put(&id, status, done);
+        }
+        self.adopt_placed_machines();
+    }
+
+    pub(crate) fn on_job_watch(&mut self, token: u64, r: StateReply) {
+        let now = self.now;
+        let retry = self.d.renew_s / 4.0;
+        let Some(l) = self.lead(token) else { return };
+        l.watch.busy = false;
+        match r {
+            StateReply::Events(e) => {
+                l.watch.revision = l.watch.revision.max(e.revision);
+                for event in e.events {
+                    if let Event::Put { key, value, version } = event {
+                        self.saw_record(&key, value, version);
+                    }
+                }
+            }
+            // Too old: everything is read again by leading anew.
+            StateReply::Gone => self.step_down("watch fell behind"),
+            _ => l.watch.retry_at = now + retry,
+        }
+    }
+
+    /// A stored record, newer than what is known or not.
+    pub(crate) fn saw_record(&mut self, key: &str, value: Value, version: u64) {
+        let (now, wall) = (self.now, self.wall);
+        let Some(id) = key.strip_prefix(JOB_PREFIX) else { return };
+        let Value::Job(record) = value else { return };
+        if record.status.is_final() {
+            self.finals.put(id, record.status, record.done);
+        }
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.commit.as_ref().is_some_and(|c| c.touches(id)) || l.rereads > 0 {
+            l.deferred.push_back((key.to_string(), Value::Job(record), version));
+            return;
+        }
+        match l.jobs.get_mut(id) {
+            Some(job) => {
+                if version > job.version {
+                    debug!(id, version, "record changed by another node");
+                    job.reconcile(&record, version);
+                    l.plan_dirty = true;
+                    self.settle_final(id);
+                }
+            }
+            None => {
+                if record.status.is_final() && record.page.places.is_empty() {
+                    return;
+                }
+                let submitted = now - (wall - record.at).max(0.0);
+                l.jobs.insert(id.to_string(), Job::load(&record, version, submitted));
+                l.plan_dirty = true;
+            }
+        }
+    }
+
+    pub(crate) fn replay_deferred(&mut self) {
+        let Role::Leader(l) = &mut self.role else { return };
+        for (key, value, version) in std::mem::take(&mut l.deferred) {
+            self.saw_record(&key, value, version);
+        }
+    }
+
+    /// A cancellation went through at this node: the leader need not wait for
+    /// its watch, but it takes the record as stored.
+    pub(crate) fn cancelled_here(&mut self, id: &str) {
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.jobs.contains_key(id) {
+            let token = l.token;
+            l.rereads += 1;
+            let key = job_key(id);
+            self.state(Purpose::Reread { token, key: key.clone() }, StateOp::Get(key));
+        }
+    }
+
+    /// Drops what a final job still plans; forgets it once nothing is left.
+    pub(crate) fn settle_final(&mut self, id: &str) {
+        let Role::Leader(l) = &mut self.role else { return };
+        let Some(job) = l.jobs.get_mut(id) else { return };
+        if !job.is_final() {
+            return;
+        }
+        let unlaunched: Vec<u32> = job
+            .places
+            .iter()
+            .filter(|(_, p)| !p.sent && p.seen.is_none())
+            .map(|(&t, _)| t)
+            .collect();
+        for t in unlaunched {
+            job.release(t);
+        }
+        let now = self.now;
+        for p in job.places.values_mut() {
+            if p.stopping.is_none() {
+                p.stopping = Some((now, 0.0));
+            }
+        }
+        let (status, done) = (job.status, job.done_count);
+        if job.places.is_empty() && job.clean() {
+            l.jobs.remove(id);
+            self.finals.put(id, status, done);
+        } else {
+            self.stop_now(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,287 @@
+//! The controller as a state machine: inputs in; what to send, write and
+//! answer out. It has no clock and does no I/O; randomness is seeded in.
+
+mod commit;
+mod fleet;
+pub mod io;
+mod job;
+mod leader;
+mod machine;
+mod planning;
+pub mod record;
+mod users;
+mod workers;
+
+pub use io::*;
+use leader::{Lead, Role};
+use rand::{rngs::SmallRng, SeedableRng};
+use settings::{Derived, Settings};
+use std::collections::{BTreeMap, VecDeque};
+use wire::cloud::MachineType;
+use wire::job::JobStatus;
+
+/// A rate that may be spent in bursts of one second's worth.
+#[derive(Debug, Clone)]
+pub(crate) struct Budget {
+    rate: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Budget {
+    fn new(rate: f64) -> Self {
+        Budget { rate, level: rate.max(1.0), at: 0.0 }
+    }
+    fn refill(&mut self, now: Time) {
+        self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+    pub(crate) fn take(&mut self, now: Time, n: f64) -> bool {
+        self.refill(now);
+        let enough = self.level >= n.min(self.rate.max(1.0));
+        if enough {
+            self.level -= n;
+        }
+        enough
+    }
+}
+
+/// What a call was for, so that its reply finds its way.
+#[derive(Debug, Clone)]
+pub(crate) enum Purpose {
+    LeaderLook,
+    LeaderWatch,
+    TypesLook,
+    Grant,
+    Claim { lease: u64 },
+    Renew { token: u64, sent: Time },
+    Revoke,
+    Load { token: u64 },
+    JobWatch { token: u64 },
+    Commit { token: u64, serial: u64 },
+    Reread { token: u64, key: String },
+    Poll { id: String },
+    Create { id: String },
+    LookUp { id: String },
+    CancelRead { id: String, tries: u32 },
+    CancelWrite { id: String, tries: u32 },
+    TypesWrite,
+    CloudTypes { token: u64 },
+    CloudList { token: u64 },
+    Rent { token: u64 },
+    Delete { token: u64, machines: Vec<String> },
+    Direct { token: u64 },
+}
+
+/// Final states may be served from memory: they never change.
+#[derive(Default)]
+pub(crate) struct Finals {
+    map: BTreeMap<String, (JobStatus, u32)>,
+    order: VecDeque<String>,
+}
+
+const MOST_FINALS: usize = 20_000;
+
+impl Finals {
+    pub(crate) fn put(&mut self, id: &str, status: JobStatus, done: u32) {
+        if !status.is_final() {
+            return;
+        }
+        if self.map.insert(id.to_string(), (status, done)).is_none() {
+            self.order.push_back(id.to_string());
+            if self.order.len() > MOST_FINALS {
+                if let Some(old) = self.order.pop_front() {
+                    self.map.remove(&old);
+                }
+            }
+        }
+    }
+    pub(crate) fn get(&self, id: &str) -> Option<(JobStatus, u32)> {
+        self.map.get(id).copied()
+    }
+}
+
+pub struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) d: Derived,
+    pub(crate) rng: SmallRng,
+    pub(crate) now: Time,
+    /// Time of day, in seconds.
+    pub(crate) wall: f64,
+    next_call: CallId,
+    pub(crate) calls: BTreeMap<CallId, Purpose>,
+    pub(crate) out: Vec<Output>,
+    pub(crate) role: Role,
+    /// Leader as last read: node name and token.
+    pub(crate) known_leader: Option<(String, u64)>,
+    pub(crate) leader_watch: leader::Follow,
+    pub(crate) claiming: bool,
+    pub(crate) claim_at: Time,
+    pub(crate) types: Option<Vec<MachineType>>,
+    pub(crate) types_look_at: Time,
+    pub(crate) finals: Finals,
+    pub(crate) users: users::Users,
+    pub(crate) reads: Budget,
+    pub(crate) writes: Budget,
+    /// Renewals and transactions confirmed by the service, for the logs.
+    pub(crate) state_ok_at: Time,
+}
+
+impl Core {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let d = Derived::from(&settings);
+        let nodes = f64::from(settings.params.nodes.max(1));
+        Core {
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0.0,
+            wall: 0.0,
+            next_call: 1,
+            calls: BTreeMap::new(),
+            out: Vec::new(),
+            role: Role::Follower,
+            known_leader: None,
+            leader_watch: leader::Follow::default(),
+            claiming: false,
+            claim_at: 0.0,
+            types: None,
+            types_look_at: 0.0,
+            finals: Finals::default(),
+            users: users::Users::default(),
+            // Users' reads and writes at one node may take their share of
+            // four fifths; the rest is for renewals, watches and the leader.
+            reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
+            writes: Budget::new(settings.params.state.write_rps * 0.5 / nodes),
+            state_ok_at: 0.0,
+            settings,
+            d,
+        }
+    }
+
+    /// Feeds one input in; the returned outputs are to be carried out.
+    pub fn handle(&mut self, now: Time, wall: f64, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match input {
+            Input::Tick => {}
+            Input::Request(id, r) => self.on_request(id, r),
+            Input::State(call, reply) => {
+                if let Some(p) = self.calls.remove(&call) {
+                    if !matches!(reply, StateReply::Refused | StateReply::Unknown) {
+                        self.state_ok_at = self.now;
+                    }
+                    self.on_state(p, reply);
+                }
+            }
+            Input::Cloud(call, reply) => {
+                if let Some(p) = self.calls.remove(&call) {
+                    self.on_cloud(p, reply);
+                }
+            }
+            Input::Worker(call, reply) => {
+                if let Some(Purpose::Direct { token }) = self.calls.remove(&call) {
+                    self.on_direct(token, reply);
+                }
+            }
+        }
+        self.on_time();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When `Tick` is due next if nothing else happens.
+    pub fn wake_s(&self) -> f64 {
+        match &self.role {
+            Role::Leader(l) if !l.held.is_empty() => 0.02,
+            Role::Leader(_) => 0.1,
+            Role::Follower => 0.2,
+        }
+    }
+
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    pub(crate) fn state(&mut self, purpose: Purpose, op: StateOp) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        self.out.push(Output::State(id, op));
+        id
+    }
+
+    pub(crate) fn cloud(&mut self, purpose: Purpose, op: CloudOp) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        self.out.push(Output::Cloud(id, op));
+        id
+    }
+
+    pub(crate) fn direct(&mut self, token: u64, addr: &str, body: wire::worker::DirectCommands) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, Purpose::Direct { token });
+        self.out.push(Output::Worker(id, addr.to_string(), body));
+    }
+
+    pub(crate) fn answer(&mut self, id: RequestId, status: u16, body: Vec<u8>) {
+        self.out.push(Output::Answer(id, Answer { status, body, retry_after_s: None }));
+    }
+
+    pub(crate) fn refuse(&mut self, id: RequestId, status: u16, why: &str) {
+        let body = wire::encode(&wire::job::Refusal { error: why.to_string() });
+        // Users wait a second at least anyway; nothing is won by asking more.
+        let retry_after_s = (status == 503).then_some(1);
+        self.out.push(Output::Answer(id, Answer { status, body, retry_after_s }));
+    }
+
+    fn on_request(&mut self, id: RequestId, r: Request) {
+        match r {
+            Request::Submit(body) => self.on_submit(id, &body),
+            Request::Poll(job) => self.on_poll(id, &job),
+            Request::Cancel(job) => self.on_cancel(id, &job),
+            Request::Report(body) => self.on_report(id, &body),
+            Request::Up => {
+                if self.types.is_some() {
+                    self.answer(id, 200, wire::encode(&wire::job::Refusal { error: String::new() }));
+                } else {
+                    self.refuse(id, 503, "machine types not known yet");
+                }
+            }
+        }
+    }
+
+    fn on_state(&mut self, p: Purpose, r: StateReply) {
+        match p {
+            Purpose::LeaderLook => self.on_leader_look(r),
+            Purpose::LeaderWatch => self.on_leader_watch(r),
+            Purpose::TypesLook => self.on_types_look(r),
+            Purpose::Grant => self.on_grant(r),
+            Purpose::Claim { lease } => self.on_claim(lease, r),
+            Purpose::Renew { token, sent } => self.on_renew(token, sent, r),
+            Purpose::Revoke | Purpose::TypesWrite => {}
+            Purpose::Load { token } => self.on_load(token, r),
+            Purpose::JobWatch { token } => self.on_job_watch(token, r),
+            Purpose::Commit { token, serial } => self.on_commit(token, serial, r),
+            Purpose::Reread { token, key } => self.on_reread(token, &key, r),
+            Purpose::Poll { id } => self.on_poll_read(&id, r),
+            Purpose::Create { id } => self.on_create(&id, r),
+            Purpose::LookUp { id } => self.on_look_up(&id, r),
+            Purpose::CancelRead { id, tries } => self.on_cancel_read(&id, tries, r),
+            Purpose::CancelWrite { id, tries } => self.on_cancel_write(&id, tries, r),
+            _ => {}
+        }
+    }
+
+    fn on_time(&mut self) {
+        self.follow_leader();
+        self.users_on_time();
+        self.lead_on_time();
+    }
+
+    pub(crate) fn lead(&mut self, token: u64) -> Option<&mut Lead> {
+        match &mut self.role {
+            Role::Leader(l) if l.token == token => Some(l),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/machine.rs
@@ -0,0 +1,97 @@
+//! A machine as the leader knows it.
+
+use crate::io::Time;
+use std::collections::BTreeMap;
+use wire::worker::{Report, TaskReport};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// Rented, its worker not heard yet.
+    Booting,
+    Up,
+    /// To be deleted; takes no work.
+    Leaving,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub id: String,
+    pub addr: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub life: Life,
+    /// Rental, or when it was first known.
+    pub since: Time,
+    /// The worker's newest (session, seq), and the token it had seen then.
+    pub newest: (u64, u64),
+    pub token_seen: u64,
+    /// Receipt of its newest report to this leader.
+    pub heard: Option<Time>,
+    /// When this leader last answered a report of it with 200.
+    pub answered: Time,
+    pub listed: bool,
+    /// Cloud takes it away at that time.
+    pub notice_until: Option<Time>,
+    pub tasks: Vec<TaskReport>,
+    /// Images its tasks needed, with when last.
+    pub images: BTreeMap<String, Time>,
+    pub idle_since: Time,
+    /// Failures by job since its last success.
+    pub failures: BTreeMap<String, u32>,
+    pub sick: bool,
+    pub slowness: f64,
+    pub deleting: Option<crate::io::CallId>,
+}
+
+impl Machine {
+    pub fn new(id: &str, machine_type: &str, zone: &str, spot: bool, now: Time) -> Self {
+        Machine {
+            id: id.to_string(),
+            addr: String::new(),
+            machine_type: machine_type.to_string(),
+            zone: zone.to_string(),
+            spot,
+            life: Life::Booting,
+            since: now,
+            newest: (0, 0),
+            token_seen: 0,
+            heard: None,
+            answered: now,
+            listed: false,
+            notice_until: None,
+            tasks: Vec::new(),
+            images: BTreeMap::new(),
+            idle_since: now,
+            failures: BTreeMap::new(),
+            sick: false,
+            slowness: 1.0,
+            deleting: None,
+        }
+    }
+
+    /// Takes what a newer report says; false if the report is not newer.
+    pub fn update(&mut self, r: &Report, now: Time) -> bool {
+        if (r.session, r.seq) <= self.newest {
+            return false;
+        }
+        self.newest = (r.session, r.seq);
+        self.addr.clone_from(&r.addr);
+        self.machine_type.clone_from(&r.machine_type);
+        self.zone.clone_from(&r.zone);
+        self.spot = r.spot;
+        self.token_seen = self.token_seen.max(r.token);
+        self.heard = Some(now);
+        if self.life == Life::Booting {
+            self.life = Life::Up;
+            self.idle_since = now;
+        }
+        self.notice_until = r.notice_s.map(|s| now + s);
+        self.tasks.clone_from(&r.tasks);
+        true
+    }
+
+    pub fn takes_work(&self) -> bool {
+        self.life != Life::Leaving && self.notice_until.is_none() && !self.sick
+    }
+}
--- /dev/null
+++ b/crates/core/src/users.rs
@@ -0,0 +1,311 @@
+//! What users ask for. Every node serves them from the state service.
+
+use crate::record::*;
+use crate::{Core, Purpose, RequestId, StateOp, StateReply};
+use plan::Amounts;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use wire::job::{valid_id, JobSpec, JobStatus, JobView, Shape};
+use wire::state::{Change, Condition, Item, Txn};
+
+#[derive(Default)]
+pub struct Users {
+    /// Polls that wait for the read in flight, and those for the next one: a
+    /// poll must not be answered from a read that was sent before it came.
+    polls: BTreeMap<String, Poll>,
+    creates: BTreeMap<String, Create>,
+    lookups: BTreeMap<String, (Vec<RequestId>, u16, String)>,
+    cancels: BTreeMap<String, Vec<RequestId>>,
+    /// Ids just submitted through this node, so that a leader here need not
+    /// wait for its watch.
+    pub created: Vec<(String, JobRecord, u64)>,
+}
+
+#[derive(Default)]
+struct Poll {
+    reading: Vec<RequestId>,
+    next: Vec<RequestId>,
+}
+
+struct Create {
+    waiting: Vec<RequestId>,
+    record: JobRecord,
+}
+
+/// Most requests of one kind that wait at a time.
+const MOST_WAITING: usize = 2_000;
+const CANCEL_TRIES: u32 = 8;
+
+#[derive(Deserialize)]
+struct OnlyId {
+    #[serde(default)]
+    id: Option<String>,
+}
+
+impl Core {
+    fn view(&mut self, id: RequestId, code: u16, job: &str, status: JobStatus, counts: Option<(u32, u32)>) {
+        let view = JobView {
+            id: job.to_string(),
+            status,
+            done: counts.map(|c| c.0),
+            running: counts.map(|c| c.1),
+        };
+        self.answer(id, code, wire::encode(&view));
+    }
+
+    pub(crate) fn on_submit(&mut self, req: RequestId, body: &[u8]) {
+        let parsed: Result<JobSpec, String> = if body.len() > wire::BODY_LIMIT {
+            Err("body over 64 KiB".to_string())
+        } else {
+            wire::decode::<JobSpec>(body)
+                .and_then(|s| s.check().map(|()| s))
+                .map_err(|e| e.to_string())
+        };
+        let spec = match parsed {
+            Ok(spec) => spec,
+            Err(why) => {
+                // A known job's repeated submission must never get 400, so
+                // the id is looked up if there is one.
+                let id = wire::decode::<OnlyId>(body).ok().and_then(|o| o.id).filter(|id| valid_id(id));
+                match id {
+                    Some(id) => self.look_up(req, &id, 400, &why),
+                    None => self.refuse(req, 400, &why),
+                }
+                return;
+            }
+        };
+        if let Some((status, done)) = self.finals.get(&spec.id) {
+            self.view(req, 200, &spec.id.clone(), status, Some((done, 0)));
+            return;
+        }
+        match self.can_run(&spec) {
+            None => self.refuse(req, 503, "machine types not known yet"),
+            Some(Err(why)) => self.look_up(req, &spec.id.clone(), 422, why),
+            Some(Ok(())) => self.create(req, spec),
+        }
+    }
+
+    /// None while it cannot be said, else why the job can never run.
+    fn can_run(&self, spec: &JobSpec) -> Option<Result<(), &'static str>> {
+        let types = self.types.as_ref()?;
+        let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
+            return Some(Err("unknown team"));
+        };
+        let needs = Amounts::new(spec.cores, spec.accelerators, spec.memory_gb);
+        let fits = types.iter().any(|t| {
+            spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && Amounts::new(t.cores, t.accelerators, t.memory_gb).holds(&needs)
+        });
+        if !fits {
+            return Some(Err("a task fits no allowed machine type"));
+        }
+        let at_once = if spec.shape == Shape::Array { 1.0 } else { f64::from(spec.tasks) };
+        let over = |need: f64, most: f64| most > 0.0 && need * at_once > most + 1e-6;
+        if over(spec.cores, team.cores_max) || over(spec.accelerators, team.accelerators_max) {
+            return Some(Err("more than the team's limit"));
+        }
+        Some(Ok(()))
+    }
+
+    fn look_up(&mut self, req: RequestId, id: &str, code: u16, why: &str) {
+        if let Some(entry) = self.users.lookups.get_mut(id) {
+            entry.0.push(req);
+            return;
+        }
+        if self.users.lookups.len() > MOST_WAITING || !self.reads.take(self.now, 1.0) {
+            return self.refuse(req, 503, "busy");
+        }
+        self.users.lookups.insert(id.to_string(), (vec![req], code, why.to_string()));
+        self.state(Purpose::LookUp { id: id.to_string() }, StateOp::Get(job_key(id)));
+    }
+
+    pub(crate) fn on_look_up(&mut self, id: &str, r: StateReply) {
+        let Some((waiting, code, why)) = self.users.lookups.remove(id) else { return };
+        for req in waiting {
+            match &r {
+                StateReply::Item(Item { value: Value::Job(j), .. }) => {
+                    self.view(req, 200, id, j.status, Some((j.done, j.running)));
+                }
+                StateReply::Missing(_) => self.refuse(req, code, &why),
+                _ => self.refuse(req, 503, "state service not reached"),
+            }
+        }
+    }
+
+    fn create(&mut self, req: RequestId, spec: JobSpec) {
+        let id = spec.id.clone();
+        if let Some(c) = self.users.creates.get_mut(&id) {
+            c.waiting.push(req);
+            return;
+        }
+        if self.users.creates.len() > MOST_WAITING || !self.writes.take(self.now, 1.0) {
+            return self.refuse(req, 503, "busy");
+        }
+        let record = JobRecord {
+            per_page: tasks_per_page(self.settings.params.state.value_kb),
+            at: self.wall,
+            status: JobStatus::Pending,
+            done: 0,
+            running: 0,
+            attempt: 0,
+            page: PageRecord::default(),
+            spec,
+        };
+        let txn = Txn {
+            conditions: vec![Condition { key: job_key(&id), version: 0 }],
+            changes: vec![Change::Put { key: job_key(&id), value: Value::Job(Box::new(record.clone())), lease: None }],
+        };
+        self.users.creates.insert(id.clone(), Create { waiting: vec![req], record });
+        self.state(Purpose::Create { id }, StateOp::Commit(txn));
+    }
+
+    pub(crate) fn on_create(&mut self, id: &str, r: StateReply) {
+        let Some(c) = self.users.creates.remove(id) else { return };
+        match r {
+            StateReply::Committed(revision) => {
+                self.users.created.push((id.to_string(), c.record, revision));
+                for (i, req) in c.waiting.into_iter().enumerate() {
+                    let code = if i == 0 { 201 } else { 200 };
+                    self.view(req, code, id, JobStatus::Pending, None);
+                }
+            }
+            StateReply::Conflict(_) => {
+                for req in c.waiting {
+                    self.look_up(req, id, 503, "busy");
+                }
+            }
+            _ => {
+                for req in c.waiting {
+                    self.refuse(req, 503, "state service not reached");
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_poll(&mut self, req: RequestId, id: &str) {
+        if !valid_id(id) {
+            return self.refuse(req, 404, "no such job");
+        }
+        if let Some((status, done)) = self.finals.get(id) {
+            return self.view(req, 200, id, status, Some((done, 0)));
+        }
+        if self.users.polls.len() > MOST_WAITING {
+            return self.refuse(req, 503, "busy");
+        }
+        let p = self.users.polls.entry(id.to_string()).or_default();
+        p.next.push(req);
+        if p.reading.is_empty() {
+            self.read_poll(id);
+        }
+    }
+
+    fn read_poll(&mut self, id: &str) {
+        let enough = self.reads.take(self.now, 1.0);
+        let Some(p) = self.users.polls.get_mut(id) else { return };
+        if !enough {
+            let waiting = std::mem::take(&mut p.next);
+            self.users.polls.remove(id);
+            for req in waiting {
+                self.refuse(req, 503, "busy");
+            }
+            return;
+        }
+        p.reading = std::mem::take(&mut p.next);
+        self.state(Purpose::Poll { id: id.to_string() }, StateOp::Get(job_key(id)));
+    }
+
+    pub(crate) fn on_poll_read(&mut self, id: &str, r: StateReply) {
+        let Some(p) = self.users.polls.get_mut(id) else { return };
+        let waiting = std::mem::take(&mut p.reading);
+        let again = !p.next.is_empty();
+        if let StateReply::Item(Item { value: Value::Job(j), .. }) = &r {
+            self.finals.put(id, j.status, j.done);
+        }
+        for req in waiting {
+            match &r {
+                StateReply::Item(Item { value: Value::Job(j), .. }) => {
+                    self.view(req, 200, id, j.status, Some((j.done, j.running)));
+                }
+                StateReply::Missing(_) => self.refuse(req, 404, "no such job"),
+                _ => self.refuse(req, 503, "state service not reached"),
+            }
+        }
+        if again {
+            self.read_poll(id);
+        } else {
+            self.users.polls.remove(id);
+        }
+    }
+
+    pub(crate) fn on_cancel(&mut self, req: RequestId, id: &str) {
+        if !valid_id(id) {
+            return self.refuse(req, 404, "no such job");
+        }
+        if let Some((status, _)) = self.finals.get(id) {
+            return self.view(req, 200, id, status, None);
+        }
+        if let Some(w) = self.users.cancels.get_mut(id) {
+            w.push(req);
+            return;
+        }
+        if self.users.cancels.len() > MOST_WAITING || !self.reads.take(self.now, 1.0) {
+            return self.refuse(req, 503, "busy");
+        }
+        self.users.cancels.insert(id.to_string(), vec![req]);
+        self.state(Purpose::CancelRead { id: id.to_string(), tries: 0 }, StateOp::Get(job_key(id)));
+    }
+
+    fn end_cancel(&mut self, id: &str, outcome: Result<JobStatus, (u16, &str)>) {
+        for req in self.users.cancels.remove(id).unwrap_or_default() {
+            match outcome {
+                Ok(status) => self.view(req, 200, id, status, None),
+                Err((code, why)) => self.refuse(req, code, why),
+            }
+        }
+    }
+
+    pub(crate) fn on_cancel_read(&mut self, id: &str, tries: u32, r: StateReply) {
+        match r {
+            StateReply::Item(Item { value: Value::Job(j), version, .. }) => {
+                if j.status.is_final() {
+                    self.finals.put(id, j.status, j.done);
+                    return self.end_cancel(id, Ok(j.status));
+                }
+                let mut record = *j;
+                record.status = JobStatus::Cancelled;
+                let key = job_key(id);
+                let txn = Txn {
+                    conditions: vec![Condition { key: key.clone(), version }],
+                    changes: vec![Change::Put { key, value: Value::Job(Box::new(record)), lease: None }],
+                };
+                self.writes.take(self.now, 1.0);
+                self.state(Purpose::CancelWrite { id: id.to_string(), tries }, StateOp::Commit(txn));
+            }
+            StateReply::Missing(_) => self.end_cancel(id, Err((404, "no such job"))),
+            _ => self.end_cancel(id, Err((503, "state service not reached"))),
+        }
+    }
+
+    pub(crate) fn on_cancel_write(&mut self, id: &str, tries: u32, r: StateReply) {
+        match r {
+            StateReply::Committed(_) => {
+                self.finals.put(id, JobStatus::Cancelled, 0);
+                self.end_cancel(id, Ok(JobStatus::Cancelled));
+                self.cancelled_here(id);
+            }
+            // The leader wrote in between: read again.
+            StateReply::Conflict(_) if tries < CANCEL_TRIES => {
+                let purpose = Purpose::CancelRead { id: id.to_string(), tries: tries + 1 };
+                self.state(purpose, StateOp::Get(job_key(id)));
+            }
+            _ => self.end_cancel(id, Err((503, "state service not reached"))),
+        }
+    }
+
+    pub(crate) fn users_on_time(&mut self) {
+        if !self.is_leader() {
+            self.users.created.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/workers.rs
@@ -0,0 +1,486 @@
+//! Reports of workers: what they prove, and which commands they are answered.
+
+use crate::job::{Job, Place};
+use crate::leader::Role;
+use crate::machine::{Life, Machine};
+use crate::{Core, RequestId, Time, WorkerReply};
+use tracing::{info, warn};
+use wire::job::Shape;
+use wire::worker::*;
+
+/// A report whose answer waits a moment for the commit that its launches need.
+pub struct Held {
+    pub request: RequestId,
+    pub machine: String,
+    pub until: Time,
+}
+
+/// A job whose tasks failed on that many machines is at fault itself.
+const JOB_AT_FAULT: usize = 2;
+
+impl Core {
+    pub(crate) fn on_report(&mut self, req: RequestId, body: &[u8]) {
+        let report: Report = match wire::decode(body) {
+            Ok(r) => r,
+            Err(e) => return self.refuse(req, 400, &e.to_string()),
+        };
+        let now = self.now;
+        let grace = self.d.grace_s;
+        let hold = self.d.worker_timeout_s / 10.0;
+        let Role::Leader(l) = &mut self.role else {
+            let report_to = self
+                .known_leader
+                .as_ref()
+                .map(|(n, _)| n.clone())
+                .filter(|n| *n != self.settings.node);
+            return self.answer(req, 421, wire::encode(&Redirect { report_to }));
+        };
+        // Past the grace a cancellation may have been told that this node
+        // cannot see: the workers' leases have to run out in time for it.
+        if now > l.confirmed + grace {
+            return self.refuse(req, 503, "state service not reached");
+        }
+        let token = l.token;
+        if report.token > token {
+            return self.refuse(req, 503, "a newer leader exists");
+        }
+        if !l.loaded {
+            let answer = ReportAnswer { token, commands: Vec::new() };
+            return self.answer(req, 200, wire::encode(&answer));
+        }
+        let id = report.machine.clone();
+        let m = l.machines.entry(id.clone()).or_insert_with(|| {
+            info!(machine = %report.machine, "machine heard that nobody listed yet");
+            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, now)
+        });
+        if m.heard.is_none() {
+            info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
+                  took_s = now - m.since, "machine up");
+            l.plan_dirty = true;
+        }
+        m.answered = now;
+        if self.take_report(&report, true) {
+            if let Role::Leader(l) = &mut self.role {
+                l.held.push(Held { request: req, machine: id, until: now + hold });
+            }
+        } else {
+            // Late: its sender has given it up, and its tasks are as old as it.
+            let answer = ReportAnswer { token, commands: Vec::new() };
+            self.answer(req, 200, wire::encode(&answer));
+        }
+    }
+
+    pub(crate) fn on_direct(&mut self, token: u64, r: WorkerReply) {
+        if self.lead(token).is_none() {
+            return;
+        }
+        if let WorkerReply::Report { report, .. } = r {
+            if report.token <= token {
+                self.take_report(&report, false);
+            }
+        }
+    }
+
+    /// Draws what a report proves; false if it is not newer than the last.
+    /// `beat` is false for the answer to a direct command: that one may have
+    /// been made while the answer to a report, with a launch in it, was still
+    /// on its way, so what it lacks may yet start.
+    fn take_report(&mut self, report: &Report, beat: bool) -> bool {
+        let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return false };
+        let token = l.token;
+        let Some(m) = l.machines.get_mut(&report.machine) else { return false };
+        let noticed = m.notice_until.is_some();
+        if !m.update(report, now) {
+            return false;
+        }
+        if m.notice_until.is_some() && !noticed {
+            info!(machine = %report.machine, notice_s = report.notice_s, "spot notice");
+            l.plan_dirty = true;
+        }
+        // Only a worker that has seen this leader's token is past every
+        // earlier leader's commands: absence proves nothing before.
+        let settled = beat && report.token == token;
+        let mut touched: Vec<String> = Vec::new();
+        let mut exits: Vec<(String, u32, TaskReport)> = Vec::new();
+        for t in &report.tasks {
+            let Some((job_id, number)) = split_task(&t.task) else { continue };
+            let Some(job) = l.jobs.get_mut(job_id) else { continue };
+            let mine = job
+                .places
+                .get_mut(&number)
+                .filter(|p| p.machine == report.machine && p.attempt == t.attempt);
+            match mine {
+                Some(p) => {
+                    if t.state == TaskState::Exited {
+                        exits.push((job_id.to_string(), number, t.clone()));
+                    } else {
+                        let first = p.seen.is_none();
+                        p.seen = Some(t.state);
+                        p.inherited = false;
+                        if t.state == TaskState::Running && p.running_since.is_none() {
+                            p.running_since = Some(now);
+                            job.first_start.get_or_insert(now);
+                        }
+                        if first && job.places.values().filter(|p| p.seen.is_some()).count() == 1 {
+                            job.touch_main();
+                        }
+                    }
+                }
+                // The result of an attempt that was given up still counts.
+                None if t.state == TaskState::Exited && t.cause == Some(ExitCause::Done) => {
+                    if job.done.get(number as usize) == Some(&false) {
+                        job.finish_task(number);
+                        l.plan_dirty = true;
+                    }
+                }
+                None => {}
+            }
+        }
+        for (id, job) in &mut l.jobs {
+            let gone: Vec<(u32, bool)> = job
+                .places
+                .iter()
+                .filter(|(_, p)| p.machine == report.machine)
+                .filter(|(task, p)| !Self::reported(report, id, **task, p))
+                .filter(|(_, p)| settled && (p.seen.is_some() || p.inherited || p.stopping.is_some() && p.sent))
+                .map(|(&t, p)| (t, p.seen.is_some()))
+                .collect();
+            for (task, was_there) in gone {
+                if was_there {
+                    info!(job = %id, task, machine = %report.machine, "task is gone");
+                }
+                lose(job, task);
+                touched.push(id.clone());
+            }
+        }
+        if !touched.is_empty() || !exits.is_empty() {
+            l.plan_dirty = true;
+        }
+        for (id, task, t) in exits {
+            self.on_exit(&report.machine, &id, task, &t);
+            touched.push(id);
+        }
+        for id in touched {
+            self.settle_final(&id);
+            self.stop_now(&id);
+        }
+        if let Role::Leader(l) = &mut self.role {
+            if let Some(m) = l.machines.get_mut(&report.machine) {
+                if !report.tasks.is_empty() {
+                    m.idle_since = now;
+                }
+            }
+        }
+        true
+    }
+
+    fn reported(report: &Report, job: &str, task: u32, place: &Place) -> bool {
+        report
+            .tasks
+            .iter()
+            .any(|t| t.attempt == place.attempt && split_task(&t.task) == Some((job, task)))
+    }
+
+    fn on_exit(&mut self, machine: &str, id: &str, task: u32, t: &TaskReport) {
+        let now = self.now;
+        let report_s = self.settings.params.workers.report_s;
+        let Role::Leader(l) = &mut self.role else { return };
+        let Some(job) = l.jobs.get_mut(id) else { return };
+        let Some(place) = job.places.get(&task).cloned() else { return };
+        let gang = job.spec.shape == Shape::Gang;
+        match t.cause {
+            Some(ExitCause::Done) => {
+                if let Some(since) = place.running_since {
+                    let stats = l.classes.entry(job.spec.class.clone()).or_default();
+                    if job.progress_s == 0.0 && job.spec.estimate_s > 0.0 {
+                        stats.learn((now - since).max(0.1) / job.spec.estimate_s);
+                    }
+                }
+                job.release(task);
+                job.failures = 0;
+                // A gang completes together.
+                let all = if gang { 0..job.spec.tasks } else { task..task + 1 };
+                for n in all {
+                    job.finish_task(n);
+                }
+                if let Some(m) = l.machines.get_mut(machine) {
+                    m.failures.clear();
+                }
+            }
+            Some(ExitCause::Stopped) => {
+                if t.saved == Some(true) {
+                    if let Some(since) = place.running_since {
+                        job.progress_s += (now - since).max(0.0) * 0.9;
+                    }
+                }
+                lose(job, task);
+            }
+            Some(ExitCause::Error) => {
+                job.failures += 1;
+                job.failed_on.insert(machine.to_string());
+                let own_fault = job.failed_on.len() > JOB_AT_FAULT;
+                let pause = report_s * f64::from(1u32 << job.failures.min(5)) / 4.0;
+                job.not_before = if own_fault { now + pause } else { now };
+                lose(job, task);
+                warn!(job = %id, task, machine, "task failed");
+                if let Some(m) = l.machines.get_mut(machine) {
+                    if !own_fault {
+                        *m.failures.entry(id.to_string()).or_insert(0) += 1;
+                        if !m.sick {
+                            warn!(machine, "quarantined, it fails its tasks");
+                        }
+                        m.sick = true;
+                    }
+                }
+            }
+            Some(ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown) => {
+                job.not_before = now + report_s / 3.0;
+                lose(job, task);
+            }
+            Some(ExitCause::Peers | ExitCause::Alone) | None => {
+                if let Some(since) = place.running_since.filter(|_| job.spec.checkpoint_s > 0.0) {
+                    let ran = now - since;
+                    job.progress_s += (ran / job.spec.checkpoint_s).floor() * job.spec.checkpoint_s;
+                }
+                lose(job, task);
+            }
+        }
+    }
+
+    /// Sends the stops of a job's tasks straight to their machines; the
+    /// answers to reports repeat them.
+    pub(crate) fn stop_now(&mut self, id: &str) {
+        let Role::Leader(l) = &mut self.role else { return };
+        let token = l.token;
+        let Some(job) = l.jobs.get_mut(id) else { return };
+        let mut orders: Vec<(String, u64, DirectCommands)> = Vec::new();
+        for (&task, p) in job.places.iter_mut() {
+            let Some((since, grace)) = p.stopping else { continue };
+            if since != self.now || p.seen.is_none() {
+                continue;
+            }
+            let Some(m) = l.machines.get(&p.machine).filter(|m| m.heard.is_some()) else { continue };
+            orders.push((m.addr.clone(), m.newest.0, DirectCommands {
+                token,
+                session: m.newest.0,
+                commands: vec![Command {
+                    op: Verb::Stop,
+                    task: task_name(id, task),
+                    attempt: p.attempt,
+                    grace_s: Some(grace),
+                }],
+            }));
+        }
+        for (addr, _, body) in orders {
+            self.direct(token, &addr, body);
+        }
+    }
+
+    /// Answers held reports whose machine has nothing left to be committed.
+    pub(crate) fn release_held(&mut self) {
+        let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.held.is_empty() {
+            return;
+        }
+        let held = std::mem::take(&mut l.held);
+        let (mut ready, mut waiting) = (Vec::new(), Vec::new());
+        for h in held {
+            let open = l.jobs.values().any(|j| {
+                !j.clean() && j.places.values().any(|p| p.machine == h.machine && !p.committed)
+            }) || l.machines.get(&h.machine).is_some_and(|m| {
+                m.tasks.iter().any(|t| {
+                    t.state == TaskState::Exited
+                        && split_task(&t.task)
+                            .and_then(|(id, _)| l.jobs.get(id))
+                            .is_some_and(|j| !j.clean())
+                })
+            });
+            if open && now < h.until {
+                waiting.push(h);
+            } else {
+                ready.push(h);
+            }
+        }
+        l.held = waiting;
+        for h in ready {
+            let answer = self.commands_for(&h.machine);
+            self.answer(h.request, 200, wire::encode(&answer));
+        }
+    }
+
+    fn commands_for(&mut self, machine: &str) -> ReportAnswer {
+        let entitled = self.entitled();
+        let Role::Leader(l) = &mut self.role else {
+            return ReportAnswer { token: 0, commands: Vec::new() };
+        };
+        let mut commands = Vec::new();
+        let tasks = l.machines.get(machine).map(|m| m.tasks.clone()).unwrap_or_default();
+        for t in &tasks {
+            let Some((id, number)) = split_task(&t.task) else { continue };
+            let job = l.jobs.get(id);
+            let place = job
+                .and_then(|j| j.places.get(&number))
+                .filter(|p| p.machine == machine && p.attempt == t.attempt);
+            let command = |op, grace_s| Command { op, task: t.task.clone(), attempt: t.attempt, grace_s };
+            match (t.state, place) {
+                // Cleared only once its outcome is stored and its placement
+                // gone from the record.
+                (TaskState::Exited, None) if job.is_none_or(Job::clean) => {
+                    commands.push(command(Verb::Forget, None));
+                }
+                (TaskState::Exited, _) => {}
+                (_, None) => commands.push(command(Verb::Stop, Some(0.0))),
+                (_, Some(p)) => {
+                    if let Some((_, grace)) = p.stopping {
+                        commands.push(command(Verb::Stop, Some(grace)));
+                    }
+                }
+            }
+        }
+        if entitled {
+            for (id, job) in &mut l.jobs {
+                if job.is_final() {
+                    continue;
+                }
+                for (&task, p) in job.places.iter_mut() {
+                    let due = p.machine == machine
+                        && p.committed
+                        && !p.inherited
+                        && p.seen.is_none()
+                        && p.stopping.is_none();
+                    if due {
+                        p.sent = true;
+                        commands.push(Command {
+                            op: Verb::Start,
+                            task: task_name(id, task),
+                            attempt: p.attempt,
+                            grace_s: None,
+                        });
+                    }
+                }
+            }
+        }
+        // An answer is at most 64 KiB; what is left over goes with the next.
+        commands.truncate(400);
+        ReportAnswer { token: l.token, commands }
+    }
+
+    /// Machines that stored placements name, unheard by this leader: their
+    /// leases may have been renewed until the end of the old leader's grace.
+    pub(crate) fn adopt_placed_machines(&mut self) {
+        let old_end = self.now + (self.d.grace_s - self.d.leader_ttl_s).max(0.0) + self.d.worker_timeout_s;
+        let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return };
+        if !l.loaded {
+            return;
+        }
+        for p in l.jobs.values().flat_map(|j| j.places.values()) {
+            let m = l.machines.entry(p.machine.clone()).or_insert_with(|| {
+                let mut m = Machine::new(&p.machine, "", "", false, now);
+                m.life = Life::Up;
+                m
+            });
+            m.answered = old_end;
+        }
+    }
+
+    /// Releases what certainly ended with its machine's lease, and looks
+    /// after silent machines.
+    pub(crate) fn machines_on_time(&mut self) {
+        let now = self.now;
+        let over = self.d.lease_over_s + self.d.worker_timeout_s;
+        let silent_s = self.d.silent_s;
+        let Role::Leader(l) = &mut self.role else { return };
+        let up = l.machines.values().filter(|m| m.life == Life::Up && m.heard.is_some()).count();
+        let silent: Vec<String> = l
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Up)
+            .filter(|m| now - m.heard.unwrap_or(l.since).max(m.since) > silent_s)
+            .map(|m| m.id.clone())
+            .collect();
+        // When many fall silent at once it is rather the network: their
+        // tasks go on, and only their leases' end is waited for.
+        let many = silent.len() > 2 && silent.len() * 3 > up;
+        let mut leave = Vec::new();
+        for id in &silent {
+            let Some(m) = l.machines.get_mut(id) else { continue };
+            let lease_over = now > m.answered + over;
+            if lease_over || (!many && m.heard.is_some()) {
+                warn!(machine = %id, lease_over, "silent, giving it up");
+                m.life = Life::Leaving;
+                l.plan_dirty = true;
+                leave.push((id.clone(), lease_over));
+            }
+        }
+        for (id, lease_over) in leave {
+            if lease_over {
+                self.lose_machine(&id, false);
+            }
+        }
+        // A machine given up earlier whose lease has ended since.
+        let Role::Leader(l) = &mut self.role else { return };
+        let ended: Vec<String> = l
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Leaving && now > m.answered + over)
+            .filter(|m| m.heard.is_none_or(|h| now - h > over))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ended {
+            self.lose_machine(&id, false);
+        }
+    }
+
+    /// Every task of `machine` is surely gone.
+    pub(crate) fn lose_machine(&mut self, machine: &str, remove: bool) {
+        let Role::Leader(l) = &mut self.role else { return };
+        let mut touched = Vec::new();
+        for (id, job) in &mut l.jobs {
+            let lost: Vec<u32> =
+                job.places.iter().filter(|(_, p)| p.machine == machine).map(|(&t, _)| t).collect();
+            for t in &lost {
+                lose(job, *t);
+            }
+            if !lost.is_empty() {
+                touched.push(id.clone());
+            }
+        }
+        if remove {
+            l.machines.remove(machine);
+        }
+        if !touched.is_empty() {
+            l.plan_dirty = true;
+        }
+        for id in touched {
+            self.settle_final(&id);
+            self.stop_now(&id);
+        }
+    }
+}
+
+/// Releases a task's place without a result. A gang's attempt ends with it.
+pub(crate) fn lose(job: &mut Job, task: u32) {
+    let now = job.places.get(&task).map_or(0.0, |p| p.placed_at);
+    job.release(task);
+    if job.spec.shape == Shape::Gang && !job.places.is_empty() && !job.is_final() {
+        job.aborting = true;
+        for p in job.places.values_mut() {
+            if p.stopping.is_none() {
+                p.stopping = Some((now, 0.0));
+            }
+        }
+        // Members never launched need no proof.
+        let unlaunched: Vec<u32> = job
+            .places
+            .iter()
+            .filter(|(_, p)| !p.sent && p.seen.is_none())
+            .map(|(&t, _)| t)
+            .collect();
+        for t in unlaunched {
+            job.release(t);
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,139 @@
+//! HTTP/1.1 client with kept connections and a deadline on every call.
+
+use async_dup::Arc;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt};
+use http_types::{Method, Request, Url};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddrV4, TcpStream};
+use std::time::{Duration, Instant};
+
+type Stream = Arc<Async<TcpStream>>;
+
+/// Largest response that is read; the state service's pages are 512 KiB.
+const MOST_RESPONSE: u64 = 4 * 1024 * 1024;
+/// Kept connections idle longer than this are closed rather than used.
+const IDLE: Duration = Duration::from_secs(8);
+const MOST_IDLE: usize = 8;
+
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+pub enum Failure {
+    /// No byte of the request was sent.
+    NotSent,
+    /// It may have been carried out, or may be yet.
+    Unknown,
+}
+
+#[derive(Default)]
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddrV4, Vec<(Stream, Instant)>>>,
+}
+
+async fn within<T>(left: Duration, f: impl std::future::Future<Output = T>) -> Option<T> {
+    future::or(async { Some(f.await) }, async {
+        Timer::after(left).await;
+        None
+    })
+    .await
+}
+
+impl Client {
+    fn kept(&self, addr: SocketAddrV4) -> Option<Stream> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        list.retain(|(_, since)| since.elapsed() < IDLE);
+        list.pop().map(|(s, _)| s)
+    }
+
+    fn keep(&self, addr: SocketAddrV4, stream: Stream) {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        if list.len() < MOST_IDLE {
+            list.push((stream, Instant::now()));
+        }
+    }
+
+    /// One call. `reuse`: kept connections may be used and kept.
+    pub async fn call(
+        &self,
+        addr: SocketAddrV4,
+        method: Method,
+        target: &str,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+        reuse: bool,
+    ) -> Result<Response, Failure> {
+        let deadline = Instant::now() + timeout;
+        let kept = if reuse { self.kept(addr) } else { None };
+        let was_kept = kept.is_some();
+        let safe = method == Method::Get;
+        if let Some(stream) = kept {
+            let r = self.exchange(addr, stream, method, target, body.clone(), deadline, reuse).await;
+            // The other side may have closed a kept connection just then. What
+            // can be asked twice is asked again on a new one.
+            if !(safe && matches!(r, Err(Failure::Unknown))) || Instant::now() >= deadline {
+                return r;
+            }
+        }
+        let _ = was_kept;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let stream = match within(left, Async::<TcpStream>::connect(addr)).await {
+            Some(Ok(s)) => s,
+            _ => return Err(Failure::NotSent),
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        self.exchange(addr, Arc::new(stream), method, target, body, deadline, reuse).await
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn exchange(
+        &self,
+        addr: SocketAddrV4,
+        stream: Stream,
+        method: Method,
+        target: &str,
+        body: Option<Vec<u8>>,
+        deadline: Instant,
+        reuse: bool,
+    ) -> Result<Response, Failure> {
+        let url = Url::parse(&format!("http://{addr}{target}")).map_err(|_| Failure::NotSent)?;
+        let mut request = Request::new(method, url);
+        if !reuse {
+            request.insert_header("connection", "close");
+        }
+        if let Some(b) = body {
+            request.set_body(b);
+            request.insert_header("content-type", "application/msgpack");
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        let io = stream.clone();
+        let done = within(left, async move {
+            let mut response = async_h1::connect(io, request)
+                .await
+                .map_err(|e| io::Error::other(e.to_string()))?;
+            let closing = response
+                .header("connection")
+                .is_some_and(|h| h.last().as_str().eq_ignore_ascii_case("close"));
+            let status: u16 = response.status().into();
+            let mut bytes = Vec::new();
+            response.take_body().take(MOST_RESPONSE).read_to_end(&mut bytes).await?;
+            io::Result::Ok((status, bytes, closing))
+        })
+        .await;
+        match done {
+            Some(Ok((status, body, closing))) => {
+                if reuse && !closing {
+                    self.keep(addr, stream);
+                }
+                Ok(Response { status, body })
+            }
+            _ => Err(Failure::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,120 @@
+//! Runs a core on sockets and clocks, all on one thread.
+
+mod client;
+mod server;
+mod services;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use client::Client;
+use engine::{Answer, Core, Input, Output, Request, RequestId};
+use settings::{Derived, Settings};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub struct Driver {
+    executor: Rc<LocalExecutor<'static>>,
+    core: RefCell<Core>,
+    client: Client,
+    settings: Settings,
+    derived: Derived,
+    start: Instant,
+    next: Cell<RequestId>,
+    waiting: RefCell<HashMap<RequestId, async_channel::Sender<Answer>>>,
+}
+
+/// Longest wait for an answer of the core's own making.
+const LONGEST_ANSWER: Duration = Duration::from_secs(5);
+
+impl Driver {
+    pub(crate) fn spawn(&self, f: impl std::future::Future<Output = ()> + 'static) {
+        self.executor.spawn(f).detach();
+    }
+
+    fn feed(self: &Rc<Self>, input: Input) {
+        let now = self.start.elapsed().as_secs_f64();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        let outputs = self.core.borrow_mut().handle(now, wall, input);
+        for o in outputs {
+            self.carry_out(o);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        let this = self.clone();
+        match output {
+            Output::Answer(id, answer) => {
+                if let Some(s) = self.waiting.borrow_mut().remove(&id) {
+                    let _ = s.try_send(answer);
+                }
+            }
+            Output::State(call, op) => self.spawn(async move {
+                let timeout = Duration::from_secs_f64(this.derived.state_timeout_s);
+                let reply = services::state(&this.client, this.settings.services.state, op, timeout).await;
+                this.feed(Input::State(call, reply));
+            }),
+            Output::Cloud(call, op) => self.spawn(async move {
+                let timeout = Duration::from_secs_f64(this.derived.cloud_timeout_s);
+                let reply = services::cloud(&this.client, this.settings.services.cloud, op, timeout).await;
+                this.feed(Input::Cloud(call, reply));
+            }),
+            Output::Worker(call, addr, body) => self.spawn(async move {
+                let timeout = Duration::from_secs_f64(this.derived.worker_timeout_s / 2.0);
+                let reply = services::worker(&this.client, &addr, body, timeout).await;
+                this.feed(Input::Worker(call, reply));
+            }),
+        }
+    }
+
+    /// Puts a request to the core and waits for its answer.
+    pub(crate) async fn ask(self: &Rc<Self>, request: Request) -> Option<Answer> {
+        let id = self.next.get() + 1;
+        self.next.set(id);
+        let (sender, receiver) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(id, sender);
+        self.feed(Input::Request(id, request));
+        let answer = futures_lite::future::or(async { receiver.recv().await.ok() }, async {
+            Timer::after(LONGEST_ANSWER).await;
+            None
+        })
+        .await;
+        self.waiting.borrow_mut().remove(&id);
+        answer
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let pause = self.core.borrow().wake_s();
+            Timer::after(Duration::from_secs_f64(pause)).await;
+            self.feed(Input::Tick);
+        }
+    }
+}
+
+/// Serves until the process is ended. Fails only if an address cannot be bound.
+pub fn run(settings: Settings) -> std::io::Result<()> {
+    let listener = Async::<TcpListener>::bind(settings.listen)?;
+    let seed = settings.node.bytes().fold(u64::from(std::process::id()), |h, b| {
+        h.wrapping_mul(0x0100_0000_01b3) ^ u64::from(b)
+    });
+    // A tenth of the sockets is kept for calls of the node's own.
+    let most = settings.params.resources.max_connections * 9 / 10;
+    let executor = Rc::new(LocalExecutor::new());
+    let driver = Rc::new(Driver {
+        executor: executor.clone(),
+        core: RefCell::new(Core::new(settings.clone(), seed)),
+        client: Client::default(),
+        derived: Derived::from(&settings),
+        settings,
+        start: Instant::now(),
+        next: Cell::new(0),
+        waiting: RefCell::new(HashMap::new()),
+    });
+    driver.spawn(driver.clone().tick());
+    driver.feed(Input::Tick);
+    async_io::block_on(executor.run(server::serve(driver, listener, most)));
+    Ok(())
+}
--- /dev/null
+++ b/crates/net/src/services.rs
@@ -0,0 +1,131 @@
+//! The state service, the cloud and the workers, as calls of the core.
+
+use crate::client::{Client, Failure, Response};
+use engine::record::Value;
+use engine::{CloudOp, CloudReply, StateOp, StateReply, WorkerReply};
+use http_types::Method;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tracing::{debug, warn};
+use wire::state::*;
+use wire::worker::{DirectCommands, Report};
+
+/// Percent-encodes what a query value may not hold.
+fn query(text: &str) -> String {
+    text.bytes()
+        .map(|b| match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' | b'/' => char::from(b).to_string(),
+            _ => format!("%{b:02X}"),
+        })
+        .collect()
+}
+
+fn parsed<T: serde::de::DeserializeOwned>(body: &[u8], what: &str) -> Option<T> {
+    match wire::decode(body) {
+        Ok(v) => Some(v),
+        Err(e) => {
+            warn!(what, error = %e, "malformed answer");
+            None
+        }
+    }
+}
+
+pub async fn state(client: &Client, addr: SocketAddrV4, op: StateOp, timeout: Duration) -> StateReply {
+    let is_commit = matches!(op, StateOp::Commit(_));
+    let (method, target, body, timeout) = match &op {
+        StateOp::Get(key) => (Method::Get, format!("/kv/{key}"), None, timeout),
+        StateOp::List { prefix, after } => {
+            let after = after.as_ref().map(|a| format!("&since={}", query(a))).unwrap_or_default();
+            (Method::Get, format!("/kv?starts={}{after}&most=1000", query(prefix)), None, timeout * 2)
+        }
+        StateOp::Commit(txn) => (Method::Post, "/commit".to_string(), Some(wire::encode(txn)), timeout),
+        StateOp::Grant { ttl_ms } => {
+            let body = wire::encode(&GrantLease { ttl_ms: *ttl_ms });
+            (Method::Post, "/grants".to_string(), Some(body), timeout)
+        }
+        StateOp::Renew(id) => (Method::Post, format!("/grants/{id}/renew"), None, timeout),
+        StateOp::Revoke(id) => (Method::Delete, format!("/grants/{id}"), None, timeout),
+        StateOp::Watch { prefix, after, wait_ms } => (
+            Method::Get,
+            format!("/follow?starts={}&since={after}&blockMs={wait_ms}", query(prefix)),
+            None,
+            timeout + Duration::from_millis(*wait_ms),
+        ),
+    };
+    let Response { status, body } = match client.call(addr, method, &target, body, timeout, true).await {
+        Ok(r) => r,
+        Err(Failure::NotSent) => return StateReply::Refused,
+        Err(Failure::Unknown) => return StateReply::Unknown,
+    };
+    let reply = match (&op, status) {
+        (StateOp::Get(_), 200) => parsed::<Item<Value>>(&body, "key").map(StateReply::Item),
+        (StateOp::Get(_), 404) => parsed::<Missing>(&body, "missing key").map(|m| StateReply::Missing(m.revision)),
+        (StateOp::List { .. }, 200) => parsed::<Page<Value>>(&body, "page").map(StateReply::Page),
+        (StateOp::Commit(_), 200) => {
+            parsed::<Committed>(&body, "commit").map(|c| StateReply::Committed(c.revision))
+        }
+        (StateOp::Commit(_), 409) => parsed::<Conflict>(&body, "conflict").map(StateReply::Conflict),
+        (StateOp::Commit(_), 400) => {
+            warn!(error = %String::from_utf8_lossy(&body), "transaction refused");
+            Some(StateReply::Gone)
+        }
+        (StateOp::Grant { .. }, 200) => parsed::<Lease>(&body, "lease").map(|l| StateReply::Granted(l.lease)),
+        (StateOp::Renew(_) | StateOp::Revoke(_), 200 | 204) => Some(StateReply::Done),
+        (StateOp::Renew(_) | StateOp::Revoke(_), 404) => Some(StateReply::Gone),
+        (StateOp::Watch { .. }, 200) => parsed::<Events<Value>>(&body, "events").map(StateReply::Events),
+        (StateOp::Watch { .. }, 410) => Some(StateReply::Gone),
+        _ => {
+            debug!(status, %target, "state service refused");
+            Some(StateReply::Refused)
+        }
+    };
+    // An answer that cannot be read tells nothing about what was done.
+    reply.unwrap_or(if is_commit { StateReply::Unknown } else { StateReply::Refused })
+}
+
+pub async fn cloud(client: &Client, addr: SocketAddrV4, op: CloudOp, timeout: Duration) -> CloudReply {
+    let (method, target, body) = match &op {
+        CloudOp::Types => (Method::Get, "/machine_types".to_string(), None),
+        CloudOp::List { after } => {
+            let since = after.as_ref().map(|a| format!("since={}&", query(a))).unwrap_or_default();
+            (Method::Get, format!("/rentals?{since}most=500"), None)
+        }
+        CloudOp::Rent(r) => (Method::Post, "/rentals".to_string(), Some(wire::encode(r))),
+        CloudOp::Delete(names) => {
+            let body = wire::encode(&wire::cloud::Machines { machines: names.clone() });
+            (Method::Post, "/rentals/delete".to_string(), Some(body))
+        }
+    };
+    let Response { status, body } = match client.call(addr, method, &target, body, timeout, true).await {
+        Ok(r) => r,
+        Err(Failure::NotSent) => return CloudReply::Refused,
+        Err(Failure::Unknown) => return CloudReply::Unknown,
+    };
+    let reply = match (&op, status) {
+        (CloudOp::Types, 200) => parsed(&body, "machine types").map(CloudReply::Types),
+        (CloudOp::List { .. }, 200) => parsed(&body, "machine list").map(CloudReply::List),
+        (CloudOp::Rent(_), 200) => parsed(&body, "rental").map(CloudReply::Machines),
+        (CloudOp::Delete(_), 200) => Some(CloudReply::Done),
+        (CloudOp::Rent(_), 503) => {
+            let full = wire::decode::<wire::job::Refusal>(&body).is_ok_and(|r| r.error == "no capacity");
+            Some(if full { CloudReply::NoCapacity } else { CloudReply::Refused })
+        }
+        (_, 400) => Some(CloudReply::Malformed),
+        _ => Some(CloudReply::Refused),
+    };
+    reply.unwrap_or(CloudReply::Unknown)
+}
+
+pub async fn worker(client: &Client, addr: &str, body: DirectCommands, timeout: Duration) -> WorkerReply {
+    let Ok(addr) = addr.parse::<SocketAddrV4>() else { return WorkerReply::Failed };
+    let sent = client
+        .call(addr, Method::Post, "/do", Some(wire::encode(&body)), timeout, false)
+        .await;
+    match sent {
+        Ok(r) if r.status == 200 || r.status == 409 => match parsed::<Report>(&r.body, "worker's report") {
+            Some(report) => WorkerReply::Report { executed: r.status == 200, report: Box::new(report) },
+            None => WorkerReply::Failed,
+        },
+        _ => WorkerReply::Failed,
+    }
+}
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,594 @@
+//! Cura's planner as a pure function: jobs that wait, machines as they are,
+//! and out of them reservations, of which those starting now are launched.
+
+use std::cmp::Ordering;
+
+/// What a task takes, or a machine has.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Amounts {
+    pub cores: f64,
+    pub accelerators: f64,
+    pub memory_gb: f64,
+}
+
+const SLACK: f64 = 1e-6;
+
+impl Amounts {
+    pub fn new(cores: f64, accelerators: f64, memory_gb: f64) -> Self {
+        Amounts { cores, accelerators, memory_gb }
+    }
+    pub fn holds(&self, need: &Amounts) -> bool {
+        need.cores <= self.cores + SLACK
+            && need.accelerators <= self.accelerators + SLACK
+            && need.memory_gb <= self.memory_gb + SLACK
+    }
+    pub fn take(&mut self, x: &Amounts) {
+        self.cores -= x.cores;
+        self.accelerators -= x.accelerators;
+        self.memory_gb -= x.memory_gb;
+    }
+    pub fn give(&mut self, x: &Amounts) {
+        self.cores += x.cores;
+        self.accelerators += x.accelerators;
+        self.memory_gb += x.memory_gb;
+    }
+    pub fn times(&self, n: f64) -> Amounts {
+        Amounts::new(self.cores * n, self.accelerators * n, self.memory_gb * n)
+    }
+    /// How many such tasks fit side by side.
+    pub fn count(&self, need: &Amounts) -> u32 {
+        let part = |have: f64, want: f64| if want > 0.0 { (have + SLACK) / want } else { f64::MAX };
+        part(self.cores, need.cores)
+            .min(part(self.accelerators, need.accelerators))
+            .min(part(self.memory_gb, need.memory_gb))
+            .clamp(0.0, 100_000.0) as u32
+    }
+}
+
+/// A machine type, with the prices of both kinds.
+#[derive(Debug, Clone)]
+pub struct Type {
+    pub size: Amounts,
+    pub price: f64,
+    pub spot_price: f64,
+    pub fetch_gb_per_s: f64,
+}
+
+/// Work that a machine holds until `end`.
+#[derive(Debug, Clone, Copy)]
+pub struct Busy {
+    pub end: f64,
+    pub takes: Amounts,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub kind: usize,
+    pub zone: usize,
+    pub spot: bool,
+    /// When it can take work: now, or when its boot is expected to end.
+    pub ready: f64,
+    pub free: Amounts,
+    pub busy: Vec<Busy>,
+    /// Images it is known to hold or to be fetching.
+    pub images: Vec<String>,
+    /// Learned run time ratio of this machine, 1 when nothing is known.
+    pub slowness: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    Array,
+    Gang,
+    Service,
+}
+
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Urgency; a larger band always goes first (a stated exception).
+    pub band: u8,
+    pub shape: Shape,
+    /// Unfinished tasks without a machine.
+    pub waiting: Vec<u32>,
+    pub needs: Amounts,
+    /// Run time expected of a task.
+    pub run_s: f64,
+    pub image: String,
+    pub image_gb: f64,
+    /// Allowed machine types, by index.
+    pub kinds: Vec<usize>,
+    /// The only allowed zone.
+    pub zone: Option<usize>,
+    pub one_zone: bool,
+    /// Most tasks per zone, and how many each zone has already.
+    pub zone_cap: Option<u32>,
+    pub zone_load: Vec<u32>,
+    pub spot: bool,
+    pub submitted: f64,
+    /// When it has to be complete.
+    pub deadline: f64,
+    pub team: usize,
+    /// Whether its team's guarantee covers it.
+    pub guaranteed: bool,
+    /// Not before this time (back-off after failures).
+    pub not_before: f64,
+}
+
+/// What a team may still add, or None where it has no limit.
+#[derive(Debug, Clone, Default)]
+pub struct Team {
+    pub cores_left: Option<f64>,
+    pub accelerators_left: Option<f64>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Problem {
+    pub now: f64,
+    pub types: Vec<Type>,
+    pub zones: usize,
+    pub machines: Vec<Machine>,
+    pub jobs: Vec<Job>,
+    pub teams: Vec<Team>,
+    /// No reservation window reaches further than this.
+    pub bound_s: f64,
+}
+
+/// One task that starts now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    pub job: usize,
+    pub task: u32,
+    pub machine: usize,
+}
+
+/// A job's tentative place in the future.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reservation {
+    pub job: usize,
+    pub kind: usize,
+    pub start: f64,
+    pub end: f64,
+    /// It fixed its type's window.
+    pub decides: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    pub order: Vec<usize>,
+    pub starts: Vec<Start>,
+    pub reservations: Vec<Reservation>,
+    /// Tasks, by job, that found no place now.
+    pub unmet: Vec<(usize, u32)>,
+}
+
+/// A configuration of a job on a type: machine price per task and second.
+fn task_price(t: &Type, job: &Job) -> Option<f64> {
+    let side_by_side = t.size.count(&job.needs);
+    if side_by_side == 0 {
+        return None;
+    }
+    let price = if job.spot && t.spot_price > 0.0 { t.spot_price } else { t.price };
+    Some(price / f64::from(side_by_side))
+}
+
+/// The job's allowed types, cheapest first; on ties, the one whose machines
+/// hold more of it, which takes the fewest machines.
+pub fn configurations(types: &[Type], job: &Job) -> Vec<(usize, f64)> {
+    let mut list: Vec<(usize, f64)> = job
+        .kinds
+        .iter()
+        .filter_map(|&k| task_price(&types[k], job).map(|p| (k, p)))
+        .collect();
+    list.sort_by(|a, b| {
+        a.1.total_cmp(&b.1)
+            .then_with(|| types[b.0].size.count(&job.needs).cmp(&types[a.0].size.count(&job.needs)))
+            .then(a.0.cmp(&b.0))
+    });
+    list
+}
+
+/// Cost of running `first` and then, once it has ended, `second`, both on
+/// their cheapest deadline-meeting configuration. A configuration that meets
+/// the deadline only by more machines costs their fetches too; a job that
+/// cannot meet it at all is bought elsewhere at twice its cost.
+pub fn pair_cost(now: f64, types: &[Type], first: &Job, second: &Job) -> f64 {
+    let (cost_first, end) = run_cost(now, types, first);
+    let (cost_second, _) = run_cost(end, types, second);
+    cost_first + cost_second
+}
+
+/// Cheapest cost of starting `job` at `start`, and when it ends.
+fn run_cost(start: f64, types: &[Type], job: &Job) -> (f64, f64) {
+    let tasks = job.waiting.len() as f64;
+    let mut fallback = (f64::MAX, start);
+    for (k, price) in configurations(types, job) {
+        let t = &types[k];
+        let fetch = if t.fetch_gb_per_s > 0.0 { job.image_gb / t.fetch_gb_per_s } else { 0.0 };
+        let end = start + fetch + job.run_s;
+        let cost = (tasks * job.run_s + fetch) * price;
+        if end <= job.deadline {
+            return (cost, end);
+        }
+        if 2.0 * cost < fallback.0 {
+            fallback = (2.0 * cost, end);
+        }
+    }
+    if fallback.0 == f64::MAX {
+        (0.0, start)
+    } else {
+        fallback
+    }
+}
+
+/// Sum over all others of what deferring `job` behind them costs.
+fn deferral(types: &[Type], ends: &[(f64, f64)], jobs: &[Job], among: &[usize], i: usize) -> f64 {
+    let (own, own_end) = ends[i];
+    among
+        .iter()
+        .filter(|&&j| j != i)
+        .map(|&j| {
+            let (other, other_end) = ends[j];
+            // pair_cost(j, i) - pair_cost(i, j), with both first runs known
+            let behind = run_cost(other_end, types, &jobs[i]).0 + other;
+            let ahead = run_cost(own_end, types, &jobs[j]).0 + own;
+            behind - ahead
+        })
+        .sum()
+}
+
+/// More jobs than this are compared pairwise with the most pressing ones only,
+/// so that a flood cannot eat the processor.
+const PAIRWISE: usize = 64;
+
+/// Jobs by falling priority. Urgency bands come first; inside a band, work
+/// that a guarantee covers, then jobs that can still meet their deadline, then
+/// the summed pairwise deferral cost, then the earlier deadline.
+pub fn order(p: &Problem) -> Vec<usize> {
+    let ends: Vec<(f64, f64)> = p.jobs.iter().map(|j| run_cost(p.now, &p.types, j)).collect();
+    let mut all: Vec<usize> = (0..p.jobs.len()).collect();
+    all.sort_by(|&a, &b| p.jobs[a].deadline.total_cmp(&p.jobs[b].deadline).then(a.cmp(&b)));
+    let among: Vec<usize> = all.iter().copied().take(PAIRWISE).collect();
+    let cost: Vec<f64> = (0..p.jobs.len())
+        .map(|i| deferral(&p.types, &ends, &p.jobs, &among, i))
+        .collect();
+    all.sort_by(|&a, &b| {
+        let (x, y) = (&p.jobs[a], &p.jobs[b]);
+        let late = |i: usize| ends[i].1 > p.jobs[i].deadline;
+        y.band
+            .cmp(&x.band)
+            .then(y.guaranteed.cmp(&x.guaranteed))
+            .then(late(a).cmp(&late(b)))
+            .then(cost[b].partial_cmp(&cost[a]).unwrap_or(Ordering::Equal))
+            .then(x.deadline.total_cmp(&y.deadline))
+            .then(a.cmp(&b))
+    });
+    all
+}
+
+/// A machine's future while the plan is being made.
+struct Slot {
+    free: Amounts,
+    /// Ends of running work, soonest first.
+    busy: Vec<Busy>,
+    /// Reserved for a job of higher priority from `start` on.
+    reserved: Vec<(f64, Amounts)>,
+}
+
+impl Slot {
+    /// Earliest time at which `need` fits, for a run of `run` seconds.
+    fn earliest(&self, now: f64, ready: f64, need: &Amounts, run: f64) -> Option<f64> {
+        let mut free = self.free;
+        let mut at = now.max(ready);
+        let mut next = 0;
+        loop {
+            while next < self.busy.len() && self.busy[next].end <= at {
+                free.give(&self.busy[next].takes);
+                next += 1;
+            }
+            let mut left = free;
+            for (start, takes) in &self.reserved {
+                if at + run > *start {
+                    left.take(takes);
+                }
+            }
+            if left.holds(need) {
+                return Some(at);
+            }
+            if next >= self.busy.len() {
+                return None;
+            }
+            at = self.busy[next].end;
+        }
+    }
+}
+
+/// Where one task could go.
+#[derive(Clone, Copy)]
+struct Option1 {
+    machine: usize,
+    at: f64,
+    rank: (f64, f64),
+}
+
+struct Planner<'a> {
+    p: &'a Problem,
+    slots: Vec<Slot>,
+    teams: Vec<Team>,
+    images: Vec<Vec<String>>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(p: &'a Problem) -> Self {
+        let slots = p
+            .machines
+            .iter()
+            .map(|m| {
+                let mut busy = m.busy.clone();
+                busy.sort_by(|a, b| a.end.total_cmp(&b.end));
+                Slot { free: m.free, busy, reserved: Vec::new() }
+            })
+            .collect();
+        Planner {
+            p,
+            slots,
+            teams: p.teams.clone(),
+            images: p.machines.iter().map(|m| m.images.clone()).collect(),
+        }
+    }
+
+    fn fetch_s(&self, job: &Job, m: usize) -> f64 {
+        if self.images[m].contains(&job.image) {
+            return 0.0;
+        }
+        let rate = self.p.types[self.p.machines[m].kind].fetch_gb_per_s;
+        if rate > 0.0 {
+            job.image_gb / rate
+        } else {
+            0.0
+        }
+    }
+
+    fn allowed(&self, job: &Job, m: usize) -> bool {
+        let machine = &self.p.machines[m];
+        job.kinds.contains(&machine.kind)
+            && (!machine.spot || job.spot)
+            && job.zone.is_none_or(|z| z == machine.zone)
+    }
+
+    /// Earliest place of one task on machine `m`. Earlier ends come first,
+    /// coarsely; then the cheaper machine; then the fuller one.
+    fn option(&self, job: &Job, m: usize) -> Option<Option1> {
+        if !self.allowed(job, m) {
+            return None;
+        }
+        let machine = &self.p.machines[m];
+        let fetch = self.fetch_s(job, m);
+        let run = (fetch + job.run_s) * machine.slowness;
+        let at = self.slots[m].earliest(self.p.now, machine.ready, &job.needs, run)?;
+        let t = &self.p.types[machine.kind];
+        let side = f64::from(t.size.count(&job.needs).max(1));
+        let price = if machine.spot { t.spot_price } else { t.price };
+        let mut left = self.slots[m].free;
+        left.take(&job.needs);
+        // Dear machines are kept for those that need them: an ordinary one
+        // ranks behind any spot machine for a job that may use either.
+        let cost = price / side * (job.run_s * machine.slowness + fetch);
+        let empty = left.cores / t.size.cores.max(SLACK) + left.accelerators / t.size.accelerators.max(SLACK);
+        Some(Option1 { machine: m, at, rank: (cost, empty) })
+    }
+
+    fn team_allows(&self, job: &Job, tasks: u32) -> bool {
+        let t = &self.teams[job.team];
+        let need = job.needs.times(f64::from(tasks));
+        t.cores_left.is_none_or(|x| need.cores <= x + SLACK)
+            && t.accelerators_left.is_none_or(|x| need.accelerators <= x + SLACK)
+    }
+
+    fn occupy(&mut self, job: &Job, m: usize, at: f64, end: f64) {
+        if at <= self.p.now {
+            self.slots[m].free.take(&job.needs);
+            let busy = &mut self.slots[m].busy;
+            let place = busy.partition_point(|b| b.end <= end);
+            busy.insert(place, Busy { end, takes: job.needs });
+            if !self.images[m].contains(&job.image) {
+                self.images[m].push(job.image.clone());
+            }
+            let t = &mut self.teams[job.team];
+            if let Some(x) = &mut t.cores_left {
+                *x -= job.needs.cores;
+            }
+            if let Some(x) = &mut t.accelerators_left {
+                *x -= job.needs.accelerators;
+            }
+        } else {
+            self.slots[m].reserved.push((at, job.needs));
+        }
+    }
+
+    /// Options for every machine, best first. `start` decides before cost
+    /// only for starts later than now.
+    fn options(&self, job: &Job, kind: Option<usize>, zone: Option<usize>) -> Vec<Option1> {
+        let mut list: Vec<Option1> = (0..self.p.machines.len())
+            .filter(|&m| kind.is_none_or(|k| self.p.machines[m].kind == k))
+            .filter(|&m| zone.is_none_or(|z| self.p.machines[m].zone == z))
+            .filter_map(|m| self.option(job, m))
+            .collect();
+        list.sort_by(|a, b| {
+            a.at.total_cmp(&b.at)
+                .then(a.rank.0.total_cmp(&b.rank.0))
+                .then(a.rank.1.total_cmp(&b.rank.1))
+                .then(a.machine.cmp(&b.machine))
+        });
+        list
+    }
+
+    /// Places for `n` gang tasks at once: on distinct capacity, in one zone
+    /// if asked for, none over the zone cap. Returns machines and the start.
+    fn gang_places(&self, job: &Job, n: usize, kind: Option<usize>, zone: Option<usize>) -> Option<(Vec<usize>, f64)> {
+        let options = self.options(job, kind, zone);
+        let mut load = job.zone_load.clone();
+        load.resize(self.p.zones, 0);
+        let mut chosen = Vec::with_capacity(n);
+        let mut start = self.p.now;
+        for o in &options {
+            let machine = &self.p.machines[o.machine];
+            let room = self.slots[o.machine].free.count(&job.needs).max(1);
+            let room = if o.at > self.p.now { 1 } else { room };
+            for _ in 0..room {
+                if chosen.len() == n {
+                    break;
+                }
+                if job.zone_cap.is_some_and(|c| load[machine.zone] >= c) {
+                    break;
+                }
+                load[machine.zone] += 1;
+                chosen.push(o.machine);
+                start = start.max(o.at);
+            }
+        }
+        (chosen.len() == n).then_some((chosen, start))
+    }
+
+    /// Plans one job. Returns its reservation, if it gets one, having
+    /// occupied what it takes; starts of now are pushed to `plan`.
+    fn reserve(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
+        let job = &self.p.jobs[i];
+        if job.not_before > self.p.now || job.waiting.is_empty() {
+            return None;
+        }
+        match job.shape {
+            Shape::Gang => self.reserve_gang(i, windows, plan),
+            Shape::Array | Shape::Service => self.reserve_tasks(i, windows, plan),
+        }
+    }
+
+    fn inside(&self, windows: &[Option<f64>], kind: usize, start: f64) -> bool {
+        start <= self.p.now || windows[kind].is_none_or(|w| start <= w)
+    }
+
+    fn reserve_gang(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
+        let job = self.p.jobs[i].clone();
+        let n = job.waiting.len();
+        if !self.team_allows(&job, n as u32) {
+            return None;
+        }
+        // A configuration that meets the deadline beats one that does not; of
+        // those that do, a start now beats a later one and then the cheapest
+        // wins; if none does, the one that ends first.
+        let mut best: Option<((bool, bool, f64, f64), usize, Vec<usize>, f64, f64)> = None;
+        for (kind, price) in configurations(&self.p.types, &job) {
+            let zones: Vec<Option<usize>> =
+                if job.one_zone { (0..self.p.zones).map(Some).collect() } else { vec![None] };
+            for zone in zones {
+                let Some((machines, start)) = self.gang_places(&job, n, Some(kind), zone) else { continue };
+                let fetch = machines.iter().map(|&m| self.fetch_s(&job, m)).fold(0.0, f64::max);
+                let slow = machines.iter().map(|&m| self.p.machines[m].slowness).fold(1.0, f64::max);
+                let end = start + fetch + job.run_s * slow;
+                let late = end > job.deadline;
+                let ordinary = machines.iter().filter(|&&m| !self.p.machines[m].spot).count();
+                let t = &self.p.types[kind];
+                let dearer = if job.spot && t.spot_price > 0.0 { t.price / t.spot_price } else { 1.0 };
+                let share = ordinary as f64 / n as f64;
+                let cost = price * (1.0 + share * (dearer - 1.0)) * (fetch + job.run_s * slow);
+                let key = if late { (true, false, end, cost) } else { (false, start > self.p.now, cost, end) };
+                if best.as_ref().is_none_or(|b| key.partial_cmp(&b.0) == Some(Ordering::Less)) {
+                    best = Some((key, kind, machines, start, end));
+                }
+            }
+        }
+        let (_, kind, machines, start, end) = best?;
+        if !self.inside(windows, kind, start) {
+            return None;
+        }
+        for (slot, &m) in machines.iter().enumerate() {
+            if start <= self.p.now {
+                plan.starts.push(Start { job: i, task: job.waiting[slot], machine: m });
+            }
+            self.occupy(&job, m, start, end);
+        }
+        Some(Reservation { job: i, kind, start, end, decides: false })
+    }
+
+    fn reserve_tasks(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
+        let job = self.p.jobs[i].clone();
+        let mut load = job.zone_load.clone();
+        load.resize(self.p.zones, 0);
+        let mut zone = if job.one_zone {
+            let held = load.iter().position(|&n| n > 0);
+            held.or_else(|| self.best_zone(&job))
+        } else {
+            None
+        };
+        let mut span: Option<Reservation> = None;
+        for &task in &job.waiting {
+            if !self.team_allows(&job, 1) {
+                break;
+            }
+            let options = self.options(&job, None, zone);
+            let found = options
+                .iter()
+                .find(|o| job.zone_cap.is_none_or(|c| load[self.p.machines[o.machine].zone] < c));
+            let Some(o) = found else { break };
+            let machine = &self.p.machines[o.machine];
+            if !self.inside(windows, machine.kind, o.at) {
+                break;
+            }
+            let end = o.at + self.fetch_s(&job, o.machine) + job.run_s * machine.slowness;
+            if o.at <= self.p.now {
+                plan.starts.push(Start { job: i, task, machine: o.machine });
+            }
+            load[machine.zone] += 1;
+            if job.one_zone {
+                zone = Some(machine.zone);
+            }
+            let kind = machine.kind;
+            self.occupy(&job, o.machine, o.at, end);
+            let r = span.get_or_insert(Reservation { job: i, kind, start: o.at, end, decides: false });
+            r.start = r.start.min(o.at);
+            r.end = r.end.max(end);
+            // Tasks that must wait reserve only the first place: more would
+            // be cancelled at the next early finish.
+            if o.at > self.p.now {
+                break;
+            }
+        }
+        span
+    }
+
+    /// The zone that can take most of an array bound to one zone now.
+    fn best_zone(&self, job: &Job) -> Option<usize> {
+        let mut room = vec![0u32; self.p.zones];
+        for (m, machine) in self.p.machines.iter().enumerate() {
+            if self.allowed(job, m) && machine.ready <= self.p.now {
+                room[machine.zone] += self.slots[m].free.count(&job.needs);
+            }
+        }
+        let best = (0..self.p.zones).max_by_key(|&z| (room[z], usize::MAX - z))?;
+        (room[best] > 0).then_some(best)
+    }
+}
+
+/// Makes the plan: the top job is reserved first, its end (capped by the
+/// bound) fixes its type's window, the others follow by falling priority if
+/// they start inside their type's window.
+pub fn plan(p: &Problem) -> Plan {
+    let mut plan = Plan { order: order(p), ..Plan::default() };
+    let mut planner = Planner::new(p);
+    let mut windows: Vec<Option<f64>> = vec![None; p.types.len()];
+    for i in plan.order.clone() {
+        let before = plan.starts.len();
+        if let Some(mut r) = planner.reserve(i, &windows, &mut plan) {
+            if windows[r.kind].is_none() {
+                windows[r.kind] = Some(r.end.min(p.now + p.bound_s));
+                r.decides = true;
+            }
+            plan.reservations.push(r);
+        }
+        let started = (plan.starts.len() - before) as u32;
+        let left = p.jobs[i].waiting.len() as u32 - started;
+        if left > 0 && p.jobs[i].not_before <= p.now {
+            plan.unmet.push((i, left));
+        }
+    }
+    plan
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,281 @@
+//! The settings file that the platform hands over, checked field by field.
+
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}")]
+    Syntax(String),
+    #[error("{field}: {problem}")]
+    Field { field: String, problem: String },
+}
+
+fn bad<T>(field: &str, problem: &str) -> Result<T, SettingsError> {
+    Err(SettingsError::Field {
+        field: field.to_string(),
+        problem: problem.to_string(),
+    })
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "location")]
+    pub zone: String,
+    #[serde(rename = "front")]
+    pub listen: SocketAddrV4,
+    #[serde(rename = "back")]
+    pub peer_listen: SocketAddrV4,
+    #[serde(rename = "seeds", default)]
+    pub peers: Vec<Peer>,
+    #[serde(rename = "external")]
+    pub services: Services,
+    pub params: Params,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "location", default)]
+    pub zone: String,
+    #[serde(rename = "peer_addr")]
+    pub addr: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    #[serde(rename = "size")]
+    pub nodes: u32,
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(rename = "clock_error_ms", default)]
+    pub clock_off_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub resources: Resources,
+}
+
+/// A team's guarantee and limit. 0 means none of either.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(rename = "cpus", default)]
+    pub cores: f64,
+    #[serde(rename = "cpus_max", default)]
+    pub cores_max: f64,
+    #[serde(rename = "gpus", default)]
+    pub accelerators: f64,
+    #[serde(rename = "gpus_max", default)]
+    pub accelerators_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    pub cpu_share: f64,
+    pub memory_mb: f64,
+    pub max_connections: usize,
+}
+
+impl Settings {
+    pub fn load(path: &std::path::Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| SettingsError::Read(path.display().to_string(), e))?;
+        Self::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        // toml's message spans several lines (it draws the place); a refused
+        // start has to be one line, so only its place and cause are kept.
+        let parsed: Settings = toml::from_str(text).map_err(|e| {
+            let line = e.span().map(|s| text[..s.start.min(text.len())].lines().count().max(1));
+            let cause = e.message().replace('\n', " ");
+            SettingsError::Syntax(match line {
+                Some(n) => format!("line {n}: {cause}"),
+                None => cause,
+            })
+        })?;
+        parsed.check()?;
+        Ok(parsed)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.node.is_empty() {
+            return bad("label", "empty");
+        }
+        for (i, p) in self.peers.iter().enumerate() {
+            if p.node.is_empty() || p.node == self.node {
+                return bad("seeds.label", "empty or this node's own");
+            }
+            if self.peers[..i].iter().any(|q| q.node == p.node) {
+                return bad("seeds.label", "named twice");
+            }
+        }
+        let p = &self.params;
+        if p.nodes == 0 {
+            return bad("params.size", "must be at least 1");
+        }
+        for (field, x) in [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.cloud.rps", p.cloud.rps),
+            ("params.resources.cpu_share", p.resources.cpu_share),
+            ("params.resources.memory_mb", p.resources.memory_mb),
+        ] {
+            if !x.is_finite() || x <= 0.0 || x > 1e7 {
+                return bad(field, "must be a positive number");
+            }
+        }
+        for (field, x) in [
+            ("params.clock_error_ms", p.clock_off_ms),
+            ("params.cloud.list_lag_s", p.cloud.list_lag_s),
+        ] {
+            if !x.is_finite() || !(0.0..1e7).contains(&x) {
+                return bad(field, "must not be negative");
+            }
+        }
+        if p.workers.cancel_s <= p.workers.lease_s {
+            return bad("params.workers.cancel_s", "must exceed lease_s");
+        }
+        if p.workers.lease_s <= p.workers.report_s {
+            return bad("params.workers.lease_s", "must exceed report_s");
+        }
+        if p.state.txn_ops < 2 {
+            return bad("params.state.txn_ops", "must be at least 2");
+        }
+        if p.resources.max_connections < 16 {
+            return bad("params.resources.max_connections", "must be at least 16");
+        }
+        for (i, t) in p.teams.iter().enumerate() {
+            let field = format!("params.teams.{}", t.name);
+            if t.name.is_empty() {
+                return bad("params.teams.name", "empty");
+            }
+            if p.teams[..i].iter().any(|u| u.name == t.name) {
+                return bad(&field, "named twice");
+            }
+            for (x, max) in [(t.cores, t.cores_max), (t.accelerators, t.accelerators_max)] {
+                if !x.is_finite() || !max.is_finite() || x < 0.0 || max < 0.0 {
+                    return bad(&field, "amounts must not be negative");
+                }
+                if max > 0.0 && x > max {
+                    return bad(&field, "guarantee above the limit");
+                }
+            }
+        }
+        for o in &p.objectives {
+            if o.share.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
+                return bad("params.objectives.share", "must lie between 0 and 1");
+            }
+            for (field, x) in [("within_s", o.within_s), ("times", o.times)] {
+                if x.is_some_and(|x| !x.is_finite() || x <= 0.0) {
+                    return bad(&format!("params.objectives.{field}"), "must be positive");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Figures that the program derives from the settings, each as a ratio to a
+/// figure of the settings. This is the one place where they are explained.
+#[derive(Debug, Clone, Copy)]
+pub struct Derived {
+    /// Leadership lease. A fifth of the workers' lease: a crashed leader is
+    /// replaced, and every worker answered again, well inside their lease.
+    pub leader_ttl_s: f64,
+    /// Renewals go out four times per lease, so that three may be lost.
+    pub renew_s: f64,
+    /// How long after sending its last confirmed renewal a leader goes on
+    /// answering reports: three quarters of what `cancel_s` leaves beyond the
+    /// workers' lease, so a cut leader's tasks end in time for a cancellation
+    /// that it cannot see.
+    pub grace_s: f64,
+    /// The workers wait this long for an answer (fixed by the protocol).
+    pub worker_timeout_s: f64,
+    /// From its last answer on, a worker's lease is over for certain.
+    pub lease_over_s: f64,
+    /// Silence after which a machine is looked at: three reports missed.
+    pub silent_s: f64,
+    /// Planner's own tick (the design's starting value).
+    pub tick_s: f64,
+    /// Timeout of a call to the state service.
+    pub state_timeout_s: f64,
+    /// Timeout of a call to the cloud.
+    pub cloud_timeout_s: f64,
+}
+
+impl Derived {
+    pub fn from(s: &Settings) -> Self {
+        let w = &s.params.workers;
+        let drift = 1.002; // two clocks, 0.05% each, with room
+        Derived {
+            leader_ttl_s: (w.lease_s / 5.0).clamp(0.5, 60.0),
+            renew_s: (w.lease_s / 20.0).clamp(0.1, 15.0),
+            grace_s: (w.cancel_s - w.lease_s) * 0.75,
+            worker_timeout_s: 4.0,
+            lease_over_s: w.lease_s * drift + 0.5,
+            silent_s: w.report_s * 3.5,
+            tick_s: w.report_s / 3.0,
+            state_timeout_s: 1.5,
+            cloud_timeout_s: 5.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/job.rs
@@ -0,0 +1,153 @@
+//! What users send and are told.
+
+use crate::Malformed;
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "array")]
+    Array,
+    /// All tasks run at the same time or none does.
+    #[serde(rename = "group")]
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "idle")]
+    Low,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "prod")]
+    Production,
+}
+
+/// A submission. A job keeps it unchanged for life.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: String,
+    #[serde(rename = "lane")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    pub shape: Shape,
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    #[serde(rename = "legs")]
+    pub tasks: u32,
+    pub cores: f64,
+    pub accelerators: f64,
+    #[serde(rename = "memGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "kit")]
+    pub image: String,
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    #[serde(rename = "breeds", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "yard", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "together")]
+    pub one_zone: bool,
+    pub spread: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    #[serde(rename = "etaS")]
+    pub estimate_s: f64,
+    #[serde(rename = "waypointS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stashS")]
+    pub save_s: f64,
+    #[serde(rename = "dueS", default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+/// Most tasks a job may have.
+pub const MOST_TASKS: u32 = 100_000;
+const LONGEST_NAME: usize = 120;
+
+/// The one form of job ids: `req-` and digits.
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("req-")
+        .is_some_and(|n| (1..=20).contains(&n.len()) && n.bytes().all(|b| b.is_ascii_digit()))
+}
+
+impl JobSpec {
+    /// Checks what types cannot: ranges, finite amounts, forms of names.
+    pub fn check(&self) -> Result<(), Malformed> {
+        let bad = |field: &str| Err(Malformed::Field(format!("invalid {field}")));
+        let amount = |x: f64| x.is_finite() && (0.0..1e9).contains(&x);
+        if !valid_id(&self.id) {
+            return bad("id");
+        }
+        if self.tasks == 0 || self.tasks > MOST_TASKS {
+            return bad("legs");
+        }
+        for (name, x) in [
+            ("cores", self.cores),
+            ("accelerators", self.accelerators),
+            ("memGb", self.memory_gb),
+            ("sizeGb", self.image_gb),
+            ("etaS", self.estimate_s),
+            ("waypointS", self.checkpoint_s),
+            ("stashS", self.save_s),
+            ("dueS", self.due_s.unwrap_or(0.0)),
+        ] {
+            if !amount(x) {
+                return bad(name);
+            }
+        }
+        for (name, text) in [("lane", &self.class), ("crew", &self.team), ("kit", &self.image)] {
+            if text.is_empty() || text.len() > LONGEST_NAME {
+                return bad(name);
+            }
+        }
+        let listed = self.types.iter().flatten().chain(self.zone.iter());
+        if listed.clone().any(|t| t.is_empty() || t.len() > LONGEST_NAME) {
+            return bad("breeds or yard");
+        }
+        if self.types.as_ref().is_some_and(|t| t.len() > 64) {
+            return bad("breeds");
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStatus {
+    Pending,
+    Running,
+    Done,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+impl JobStatus {
+    pub fn is_final(self) -> bool {
+        matches!(self, JobStatus::Done | JobStatus::Cancelled)
+    }
+}
+
+/// Answer to a submission, a poll or a cancellation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobView {
+    pub id: String,
+    pub status: JobStatus,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// Body of every refusal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub error: String,
+}
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,118 @@
+//! The state service: keys, transactions, leases and watches. `V` is the type
+//! of the values a caller keeps there.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Item<V> {
+    #[serde(rename = "path")]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: V,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Missing {
+    #[serde(rename = "ledger")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Page<V> {
+    #[serde(rename = "rows")]
+    pub items: Vec<Item<V>>,
+    #[serde(rename = "hasNext", default)]
+    pub more: bool,
+    #[serde(rename = "ledger")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Condition {
+    #[serde(rename = "path")]
+    pub key: String,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change<V> {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        #[serde(rename = "v")]
+        value: V,
+        #[serde(rename = "permit", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "delete")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Txn<V> {
+    #[serde(rename = "when")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "writes")]
+    pub changes: Vec<Change<V>>,
+}
+
+/// Largest transaction, in bytes of its JSON form.
+pub const TXN_LIMIT: usize = 64 * 1024;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Committed {
+    #[serde(rename = "ledger")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+    #[serde(rename = "ledger", default)]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GrantLease {
+    #[serde(rename = "ttlMs")]
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lease {
+    #[serde(rename = "permit")]
+    pub lease: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Event<V> {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        #[serde(rename = "v")]
+        value: V,
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+    Delete {
+        #[serde(rename = "delete")]
+        key: String,
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Events<V> {
+    #[serde(rename = "ledger")]
+    pub revision: u64,
+    pub events: Vec<Event<V>>,
+}
