--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,8 @@
     pub target: BTreeMap<Pool, u32>,
     pub usage: BTreeMap<Pool, f64>,
     pub usage_at: Time,
+    /// Machines deleted, with when: the list shows them for a while yet.
+    buried: BTreeMap<String, Time>,
 }
 
 struct Rental {
@@ -173,7 +175,12 @@
         l.fleet.listed_once = true;
         let list = std::mem::take(&mut l.fleet.list);
         let mut failed = Vec::new();
+        let (buried, sent) = (&mut l.fleet.buried, l.fleet.list_sent);
+        buried.retain(|_, at| sent - *at < 2.0 * lag + 2.0);
         for item in &list {
+            if buried.contains_key(&item.id) {
+                continue;
+            }
             let known = l.machines.contains_key(&item.id);
             let m = l.machines.entry(item.id.clone()).or_insert_with(|| {
                 Machine::new(&item.id, &item.machine_type, &item.zone, item.spot, now - item.age_s)
@@ -302,6 +309,9 @@
         let Some(l) = self.lead(token) else { return };
         l.fleet.deleting = false;
         if r == CloudReply::Done {
+            for id in machines {
+                l.fleet.buried.insert(id.clone(), now);
+            }
             for id in machines {
                 self.lose_machine(id, true);
             }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -16,8 +16,10 @@
 #[derive(Debug, Default, Clone)]
 pub struct Follow {
     pub busy: bool,
-    /// Revision up to which everything was seen; 0: read the keys first.
-    pub revision: u64,
+    /// Revision up to which everything was seen; None: read the keys first.
+    /// (0 is a revision too: a fresh store's. Taking it for "unknown" once hid
+    /// the first leader from the others.)
+    pub revision: Option<u64>,
     pub retry_at: Time,
 }
 
@@ -105,18 +107,17 @@
         }
         if !self.leader_watch.busy && now >= self.leader_watch.retry_at {
             self.leader_watch.busy = true;
-            if self.leader_watch.revision == 0 {
-                self.state(Purpose::LeaderLook, StateOp::Get(LEADER_KEY.to_string()));
-            } else {
+            if let Some(after) = self.leader_watch.revision {
                 let wait_ms = (self.d.leader_ttl_s * 1000.0) as u64;
-                let after = self.leader_watch.revision;
                 self.state(
                     Purpose::LeaderWatch,
                     StateOp::Watch { prefix: NODE_PREFIX.to_string(), after, wait_ms },
                 );
+            } else {
+                self.state(Purpose::LeaderLook, StateOp::Get(LEADER_KEY.to_string()));
             }
         }
-        let vacant = self.known_leader.is_none() && self.leader_watch.revision > 0;
+        let vacant = self.known_leader.is_none() && self.leader_watch.revision.is_some();
         if vacant && !self.claiming && !self.is_leader() && now >= self.claim_at {
             self.claiming = true;
             self.claim_at = now;
@@ -126,18 +127,18 @@
     }
 
     fn look_again(&mut self, pause: f64) {
-        self.leader_watch = Follow { busy: false, revision: 0, retry_at: self.now + pause };
+        self.leader_watch = Follow { busy: false, revision: None, retry_at: self.now + pause };
     }
 
     pub(crate) fn on_leader_look(&mut self, r: StateReply) {
         self.leader_watch.busy = false;
         match r {
             StateReply::Item(Item { value: Value::Leader(l), version, .. }) => {
-                self.leader_watch.revision = version;
+                self.leader_watch.revision = Some(version);
                 self.saw_leader(Some((l.node, version)));
             }
             StateReply::Missing(revision) => {
-                self.leader_watch.revision = revision.max(1);
+                self.leader_watch.revision = Some(revision);
                 self.saw_leader(None);
             }
             _ => self.look_again(self.d.renew_s / 2.0),
@@ -177,7 +178,7 @@
                         _ => {}
                     }
                 }
-                self.leader_watch.revision = self.leader_watch.revision.max(e.revision);
+                self.leader_watch.revision = self.leader_watch.revision.max(Some(e.revision));
             }
             _ => self.look_again(self.d.renew_s / 4.0),
         }
@@ -280,7 +281,7 @@
         if l.loaded {
             if !l.watch.busy && now >= l.watch.retry_at {
                 l.watch.busy = true;
-                let after = l.watch.revision;
+                let after = l.watch.revision.unwrap_or(0);
                 let wait_ms = (self.d.leader_ttl_s * 500.0) as u64;
                 self.state(
                     Purpose::JobWatch { token },
@@ -352,7 +353,7 @@
                 l.load_prefix = PAGE_PREFIX;
             } else {
                 l.loaded = true;
-                l.watch.revision = l.load_revision.unwrap_or(page.revision);
+                l.watch.revision = Some(l.load_revision.unwrap_or(page.revision));
                 let placed: usize = l.jobs.values().map(|j| j.places.len()).sum();
                 info!(token, jobs = l.jobs.len(), placed, "records read");
             }
@@ -370,7 +371,7 @@
         l.watch.busy = false;
         match r {
             StateReply::Events(e) => {
-                l.watch.revision = l.watch.revision.max(e.revision);
+                l.watch.revision = l.watch.revision.max(Some(e.revision));
                 for event in e.events {
                     if let Event::Put { key, value, version } = event {
                         self.saw_record(&key, value, version);
