Stop less urgent work for urgent gangs; reserve machines by arrival rates

Cause: whole-machine gangs waited until every task on some machine had ended, and idle machines outlived the demand by minutes (a smoothed usage kept them). Now a gang of a higher band that would wait longer than a report has the cheapest lower-band work stopped (images at hand count), a pool keeps what is used, what is late, and what usually arrives while a machine boots, and more machines are rented only for work that would be late or that a guarantee covers.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -32,8 +32,6 @@
     pub wanted: BTreeMap<Pool, u32>,
     /// Machines each pool should keep.
     pub target: BTreeMap<Pool, u32>,
-    pub usage: BTreeMap<Pool, f64>,
-    pub usage_at: Time,
     /// Machines deleted, with when: the list shows them for a while yet.
     buried: BTreeMap<String, Time>,
 }
@@ -62,6 +60,10 @@
 
 /// A boot that takes this many times the usual is taken for stuck.
 const BOOT_STUCK: f64 = 3.0;
+/// An idle machine beyond the target is kept for this part of its boot time.
+const IDLE_HOLD: f64 = 0.25;
+/// The cloud charges every machine for that long at least.
+const LEAST_CHARGE_S: f64 = 60.0;
 
 impl Core {
     fn cloud_budget(&mut self) -> bool {
@@ -261,7 +263,8 @@
                     if m.heard.is_some()
                         && m.tasks.is_empty()
                         && m.notice_until.is_none()
-                        && now - m.idle_since > boot.max(20.0) * 0.75 =>
+                        && now - m.idle_since > boot * IDLE_HOLD
+                        && now - m.since > LEAST_CHARGE_S =>
                 {
                     idle.push((m.idle_since, m.id.clone()));
                 }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{debug, info, warn};
+use wire::job::JobSpec;
 use wire::state::{Change, Condition, Event, Item, Txn};
 
 /// A watch on a prefix, kept open.
@@ -315,6 +316,7 @@
         let (now, wall) = (self.now, self.wall);
         let renew_s = self.d.renew_s;
         let mut finals = Vec::new();
+        let mut arrived = Vec::new();
         let Some(l) = self.lead(token) else { return };
         l.loading = false;
         let StateReply::Page(page) = r else {
@@ -333,6 +335,7 @@
                         finals.push((id, record.status, record.done));
                     } else {
                         let submitted = now - (wall - record.at).max(0.0);
+                        arrived.push((record.spec.clone(), submitted));
                         l.jobs.insert(id, Job::load(&record, item.version, submitted));
                     }
                 }
@@ -361,6 +364,10 @@
         for (id, status, done) in finals {
             self.finals.put(&id, status, done);
         }
+        arrived.sort_by(|a: &(JobSpec, Time), b| a.1.total_cmp(&b.1));
+        for (spec, at) in arrived {
+            self.note_arrival(&spec, at);
+        }
         self.adopt_placed_machines();
     }
 
@@ -413,6 +420,7 @@
                 let submitted = now - (wall - record.at).max(0.0);
                 l.jobs.insert(id.to_string(), Job::load(&record, version, submitted));
                 l.plan_dirty = true;
+                self.note_arrival(&record.spec, submitted);
             }
         }
     }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -2,12 +2,12 @@
 //! there is goes in; placements, stops and the fleet's targets come out.
 
 use crate::fleet::Pool;
-use crate::job::Job;
+use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::Life;
 use crate::Core;
-use plan::{Amounts, Busy, Problem};
-use std::collections::BTreeMap;
+use plan::{Amounts, Busy, Problem, Victim};
+use std::collections::{BTreeMap, VecDeque};
 use tracing::{debug, info};
 use wire::job::{JobSpec, Priority, Shape};
 
@@ -16,14 +16,45 @@
 pub struct ClassStats {
     log_ratio: f64,
     samples: u32,
+    /// Times of the last arrivals.
+    arrivals: VecDeque<f64>,
+    /// Where its jobs run cheapest: pool, machines per job (a running mean),
+    /// and the pool's boot time.
+    pub pool: Option<(Pool, f64, f64)>,
 }
 
+/// Arrivals that the rate of a class is taken from.
+const ARRIVALS: usize = 8;
+
 impl ClassStats {
     pub fn learn(&mut self, ratio: f64) {
         self.samples += 1;
         let weight = 1.0 / f64::from(self.samples.min(20) + 2);
         self.log_ratio += (ratio.clamp(0.1, 10.0).ln() - self.log_ratio) * weight;
     }
+    pub fn arrived(&mut self, at: f64, pool: Option<(Pool, f64, f64)>) {
+        self.arrivals.push_back(at);
+        if self.arrivals.len() > ARRIVALS {
+            self.arrivals.pop_front();
+        }
+        if let Some((pool, machines, boot)) = pool {
+            let mean = match &self.pool {
+                Some((_, old, _)) => old + (machines - old) / 4.0,
+                None => machines,
+            };
+            self.pool = Some((pool, mean, boot));
+        }
+    }
+
+    /// Jobs a second, lately. A silence well beyond the usual gap takes it
+    /// down, so that no reserve outlives the demand.
+    pub fn rate(&self, now: f64) -> f64 {
+        let (Some(first), Some(last)) = (self.arrivals.front(), self.arrivals.back()) else { return 0.0 };
+        let n = self.arrivals.len() as f64;
+        let mean = n / (now - first).max(60.0);
+        mean.min(1.5 / (now - last).max(1e-3))
+    }
+
     pub fn ratio(&self) -> f64 {
         self.log_ratio.exp()
     }
@@ -33,6 +64,37 @@
     Amounts::new(s.cores, s.accelerators, s.memory_gb)
 }
 
+fn band(s: &JobSpec) -> u8 {
+    match s.priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+        Priority::Production => 3,
+    }
+}
+
+/// From sending a stop until its place can be given anew, about.
+const STOP_S: f64 = 1.5;
+
+/// What stopping a running task would lose, and how long it would take; None
+/// if it is not to be stopped for others. A gang of several tasks is left
+/// alone: its orderly stop costs all of its machines.
+fn victim(job: &Job, p: &Place, now: f64) -> Option<(f64, f64)> {
+    let stoppable = p.seen.is_some()
+        && p.stopping.is_none()
+        && !job.is_final()
+        && (job.spec.shape != Shape::Gang || job.spec.tasks == 1);
+    if !stoppable {
+        return None;
+    }
+    let ran = p.running_since.map_or(0.0, |s| now - s);
+    if job.spec.checkpoint_s > 0.0 {
+        Some((job.spec.save_s, job.spec.save_s + STOP_S))
+    } else {
+        Some((ran, STOP_S))
+    }
+}
+
 /// Most tasks of one job that one planning round looks at.
 const MOST_TASKS: usize = 256;
 /// Most jobs that one planning round looks at.
@@ -68,6 +130,28 @@
         }
     }
 
+    /// Notes a job's arrival for its class's reserve.
+    pub(crate) fn note_arrival(&mut self, spec: &JobSpec, at: f64) {
+        let need = needs(spec);
+        let mut best: Option<(f64, Pool, f64, f64)> = None;
+        for t in self.types.iter().flatten() {
+            let allowed = spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
+            let side = Amounts::new(t.cores, t.accelerators, t.memory_gb).count(&need);
+            if !allowed || side == 0 {
+                continue;
+            }
+            let n = f64::from(side);
+            let price = if spec.spot { t.spot_price } else { t.price };
+            let machines = f64::from(spec.tasks.min(1000)) / n;
+            if best.as_ref().is_none_or(|b| price / n < b.0) {
+                best = Some((price / n, (t.name.clone(), spec.spot), machines, t.boot_s));
+            }
+        }
+        let Role::Leader(l) = &mut self.role else { return };
+        let stats = l.classes.entry(spec.class.clone()).or_default();
+        stats.arrived(at, best.map(|(_, pool, machines, boot)| (pool, machines, boot)));
+    }
+
     pub(crate) fn plan_on_time(&mut self) {
         let now = self.now;
         let tick = self.d.tick_s;
@@ -123,10 +207,11 @@
             });
         }
         let team_of = |name: &str| self.settings.params.teams.iter().position(|t| t.name == name);
-        for job in l.jobs.values() {
+        let mut owners: Vec<(String, u32)> = Vec::new();
+        for (id, job) in &l.jobs {
             let need = needs(&job.spec);
             let team = team_of(&job.spec.team);
-            for p in job.places.values() {
+            for (task, p) in &job.places {
                 if let Some(t) = team.map(|t| &mut teams[t]) {
                     if let Some(x) = &mut t.cores_left {
                         *x -= need.cores;
@@ -138,11 +223,16 @@
                 if let Some(&m) = index.get(p.machine.as_str()) {
                     machines[m].free.take(&need);
                     let run = self.expected_run(job, ratio(&job.spec.class));
-                    let end = match p.running_since {
-                        Some(s) => (s + run).max(now + run * 0.1),
-                        None => p.placed_at + run + 10.0,
+                    let end = match (p.stopping, p.running_since) {
+                        (Some((since, grace)), _) => since + grace + STOP_S,
+                        (None, Some(s)) => (s + run).max(now + run * 0.1),
+                        (None, None) => p.placed_at + run + 10.0,
                     };
-                    machines[m].busy.push(Busy { end: end.max(now + 1.0), takes: need });
+                    let victim = victim(job, p, now).map(|(lost_s, stop_s)| {
+                        owners.push((id.clone(), *task));
+                        Victim { owner: owners.len() - 1, band: band(&job.spec), lost_s, stop_s }
+                    });
+                    machines[m].busy.push(Busy { end: end.max(now + 0.5), takes: need, victim });
                     if !machines[m].images.contains(&job.spec.image) {
                         machines[m].images.push(job.spec.image.clone());
                     }
@@ -183,12 +273,7 @@
             }
             ids.push(id.clone());
             jobs.push(plan::Job {
-                band: match s.priority {
-                    Priority::Low => 0,
-                    Priority::Normal => 1,
-                    Priority::High => 2,
-                    Priority::Production => 3,
-                },
+                band: band(s),
                 shape: match s.shape {
                     Shape::Array => plan::Shape::Array,
                     Shape::Gang => plan::Shape::Gang,
@@ -230,9 +315,11 @@
             jobs,
             teams,
             bound_s: self.settings.params.workers.lease_s * 10.0,
+            patience_s: self.settings.params.workers.report_s,
         };
         let made = plan::plan(&problem);
         self.carry_out(&problem, &made, &names, &ids);
+        self.stop_for_others(&made.stops, &owners);
         self.set_targets(&problem, &made, &types);
     }
 
@@ -260,13 +347,33 @@
         }
     }
 
+    fn stop_for_others(&mut self, stops: &[usize], owners: &[(String, u32)]) {
+        let now = self.now;
+        for (id, task) in stops.iter().filter_map(|&s| owners.get(s)) {
+            let Role::Leader(l) = &mut self.role else { return };
+            let Some(job) = l.jobs.get_mut(id) else { continue };
+            let grace = if job.spec.checkpoint_s > 0.0 { job.spec.save_s * 1.25 } else { 0.0 };
+            let Some(p) = job.places.get_mut(task) else { continue };
+            p.stopping = Some((now, grace));
+            info!(job = %id, task, machine = %p.machine, "stopped for more urgent work");
+            self.stop_now(id);
+        }
+    }
+
     /// How many machines each pool should have: what is used and waited for,
     /// and a reserve for what usually comes.
     fn set_targets(&mut self, p: &Problem, made: &plan::Plan, types: &[wire::cloud::MachineType]) {
         let now = self.now;
         let Role::Leader(l) = &mut self.role else { return };
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
-        for &(i, tasks) in &made.unmet {
+        for u in &made.unmet {
+            // Work that will be in time where it is planned needs no machine
+            // more, unless its guarantee asks for a start now.
+            let i = u.job;
+            let tasks = if p.jobs[i].guaranteed { u.tasks } else { u.late };
+            if tasks == 0 {
+                continue;
+            }
             let job = &p.jobs[i];
             let mut pools: Vec<(f64, Pool, f64)> = Vec::new();
             for &k in &job.kinds {
@@ -304,9 +411,13 @@
                 *used.entry(pool).or_insert(0.0) += 1.0;
             }
         }
-        let step = (now - l.fleet.usage_at).clamp(0.0, 10.0);
-        l.fleet.usage_at = now;
-        let weight = step / 90.0;
+        // What usually comes while a machine boots, by pool.
+        let mut reserve: BTreeMap<Pool, f64> = BTreeMap::new();
+        for class in l.classes.values() {
+            if let Some((pool, machines, boot)) = &class.pool {
+                *reserve.entry(pool.clone()).or_insert(0.0) += class.rate(now) * machines * boot;
+            }
+        }
         let mut wanted: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut target: BTreeMap<Pool, u32> = BTreeMap::new();
         for t in types {
@@ -314,16 +425,13 @@
                 let pool = (t.name.clone(), spot);
                 let n = need.get(&pool).copied().unwrap_or(0.0).ceil();
                 let u = used.get(&pool).copied().unwrap_or(0.0);
-                let level = l.fleet.usage.entry(pool.clone()).or_insert(0.0);
-                let current = u + n;
-                // Quick to grow, slow to forget.
-                let w = if current > *level { (weight * 3.0).min(1.0) } else { weight };
-                *level += (current - *level) * w;
-                let keep = current.max((*level + level.sqrt()).ceil());
+                let r = reserve.get(&pool).copied().unwrap_or(0.0).round();
+                let keep = u + n + r;
                 let there = f64::from(have.get(&pool).copied().unwrap_or(0));
                 target.insert(pool.clone(), keep as u32);
-                let missing = (keep - there).max(n - f64::from(booting.get(&pool).copied().unwrap_or(0)));
-                if missing > 0.0 && (spot || t.price > 0.0) {
+                let coming = f64::from(booting.get(&pool).copied().unwrap_or(0));
+                let missing = (keep - there).max(n - coming);
+                if missing > 0.0 {
                     wanted.insert(pool, missing as u32);
                 }
             }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -59,6 +59,20 @@
 pub struct Busy {
     pub end: f64,
     pub takes: Amounts,
+    /// What stopping it would cost, if it may be stopped for more urgent work.
+    pub victim: Option<Victim>,
+}
+
+/// Running work that a more urgent job may have stopped.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Victim {
+    /// The caller's own number of it.
+    pub owner: usize,
+    pub band: u8,
+    /// Run time that would be lost.
+    pub lost_s: f64,
+    /// Time until its place is free.
+    pub stop_s: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -131,6 +145,8 @@
     pub teams: Vec<Team>,
     /// No reservation window reaches further than this.
     pub bound_s: f64,
+    /// A more urgent job waits that long rather than having work stopped.
+    pub patience_s: f64,
 }
 
 /// One task that starts now.
@@ -152,13 +168,26 @@
     pub decides: bool,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unmet {
+    pub job: usize,
+    pub tasks: u32,
+    pub late: u32,
+}
+
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
     pub order: Vec<usize>,
     pub starts: Vec<Start>,
     pub reservations: Vec<Reservation>,
-    /// Tasks, by job, that found no place now.
-    pub unmet: Vec<(usize, u32)>,
+    /// Tasks, by job, that found no place now, and how many of these are
+    /// expected after their deadline.
+    pub unmet: Vec<Unmet>,
+    /// Tasks reserved for later that meet their deadline (of the job that is
+    /// being planned).
+    timely: u32,
+    /// Running work to be stopped for more urgent jobs.
+    pub stops: Vec<usize>,
 }
 
 /// A configuration of a job on a type: machine price per task and second.
@@ -393,7 +422,7 @@
             self.slots[m].free.take(&job.needs);
             let busy = &mut self.slots[m].busy;
             let place = busy.partition_point(|b| b.end <= end);
-            busy.insert(place, Busy { end, takes: job.needs });
+            busy.insert(place, Busy { end, takes: job.needs, victim: None });
             if !self.images[m].contains(&job.image) {
                 self.images[m].push(job.image.clone());
             }
@@ -507,6 +536,12 @@
                 }
             }
         }
+        let patience = self.p.now + self.p.patience_s;
+        if best.as_ref().is_none_or(|b| b.start > patience) {
+            if let Some(r) = self.reserve_by_stopping(i, plan) {
+                return Some(r);
+            }
+        }
         let GangChoice { kind, machines, start, end, .. } = best?;
         if !self.inside(windows, kind, start) {
             return None;
@@ -520,6 +555,93 @@
         Some(Reservation { job: i, kind, start, end, decides: false })
     }
 
+    /// Has less urgent work stopped where that costs least, and reserves the
+    /// places that come free for gang `i` (an exception: Cura stops nothing).
+    fn reserve_by_stopping(&mut self, i: usize, plan: &mut Plan) -> Option<Reservation> {
+        let job = self.p.jobs[i].clone();
+        let n = job.waiting.len();
+        let mut options: Vec<(f64, usize, f64, Vec<usize>)> = Vec::new();
+        for m in 0..self.p.machines.len() {
+            let machine = &self.p.machines[m];
+            if !self.allowed(&job, m) || machine.ready > self.p.now || !self.slots[m].reserved.is_empty() {
+                continue;
+            }
+            let mut victims: Vec<(usize, Victim, Amounts)> = self.slots[m]
+                .busy
+                .iter()
+                .enumerate()
+                .filter_map(|(at, b)| b.victim.filter(|v| v.band < job.band).map(|v| (at, v, b.takes)))
+                .collect();
+            victims.sort_by(|a, b| a.1.lost_s.total_cmp(&b.1.lost_s));
+            let mut free = self.slots[m].free;
+            let (mut lost, mut stop, mut chosen) = (0.0, 0.0f64, Vec::new());
+            for (at, v, takes) in victims {
+                if free.holds(&job.needs) {
+                    break;
+                }
+                free.give(&takes);
+                let t = &self.p.types[machine.kind];
+                // Lost work counts by the share of the machine that it held.
+                let share = (takes.cores / t.size.cores.max(SLACK))
+                    .max(takes.accelerators / t.size.accelerators.max(SLACK))
+                    .max(takes.memory_gb / t.size.memory_gb.max(SLACK));
+                lost += v.lost_s * share;
+                stop = stop.max(v.stop_s);
+                chosen.push(at);
+            }
+            if free.holds(&job.needs) {
+                // An image at hand is worth its fetch on the whole machine.
+                options.push((lost + stop + 2.0 * self.fetch_s(&job, m), m, stop, chosen));
+            }
+        }
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let zones: Vec<Option<usize>> =
+            if job.one_zone { (0..self.p.zones).map(Some).collect() } else { vec![None] };
+        let mut best: Option<(f64, Vec<usize>)> = None;
+        for zone in zones {
+            let mut load = job.zone_load.clone();
+            load.resize(self.p.zones, 0);
+            let (mut cost, mut picked) = (0.0, Vec::new());
+            for (at, (c, m, ..)) in options.iter().enumerate() {
+                let z = self.p.machines[*m].zone;
+                let full = job.zone_cap.is_some_and(|cap| load[z] >= cap);
+                if picked.len() < n && !full && zone.is_none_or(|only| only == z) {
+                    load[z] += 1;
+                    cost += c;
+                    picked.push(at);
+                }
+            }
+            if picked.len() == n && best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, picked));
+            }
+        }
+        let (_, picked) = best?;
+        if !self.team_allows(&job, n as u32) {
+            return None;
+        }
+        let (mut start, mut end) = (self.p.now, self.p.now);
+        for at in picked {
+            let (_, m, stop, mut chosen) = options[at].clone();
+            let begin = self.p.now + stop.max(SLACK);
+            // Later places first, so that the earlier numbers stay right.
+            chosen.sort_unstable();
+            for b in chosen.into_iter().rev() {
+                let mut taken = self.slots[m].busy.remove(b);
+                if let Some(v) = taken.victim.take() {
+                    plan.stops.push(v.owner);
+                }
+                taken.end = begin;
+                self.slots[m].busy.insert(0, taken);
+            }
+            let fetch = self.fetch_s(&job, m);
+            start = start.max(begin);
+            end = end.max(begin + fetch + job.run_s);
+            self.occupy(&job, m, begin, begin + fetch + job.run_s);
+        }
+        let kind = self.p.machines[options[0].1].kind;
+        Some(Reservation { job: i, kind, start, end, decides: false })
+    }
+
     fn reserve_tasks(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
         let job = self.p.jobs[i].clone();
         let mut load = job.zone_load.clone();
@@ -557,10 +679,8 @@
             let r = span.get_or_insert(Reservation { job: i, kind, start: o.at, end, decides: false });
             r.start = r.start.min(o.at);
             r.end = r.end.max(end);
-            // Tasks that must wait reserve only the first place: more would
-            // be cancelled at the next early finish.
-            if o.at > self.p.now {
-                break;
+            if o.at > self.p.now && end <= job.deadline {
+                plan.timely += 1;
             }
         }
         span
@@ -588,17 +708,21 @@
     let mut windows: Vec<Option<f64>> = vec![None; p.types.len()];
     for i in plan.order.clone() {
         let before = plan.starts.len();
+        plan.timely = 0;
         if let Some(mut r) = planner.reserve(i, &windows, &mut plan) {
             if windows[r.kind].is_none() {
                 windows[r.kind] = Some(r.end.min(p.now + p.bound_s));
                 r.decides = true;
             }
+            if p.jobs[i].shape == Shape::Gang && r.end <= p.jobs[i].deadline {
+                plan.timely = p.jobs[i].waiting.len() as u32;
+            }
             plan.reservations.push(r);
         }
         let started = (plan.starts.len() - before) as u32;
         let left = p.jobs[i].waiting.len() as u32 - started;
         if left > 0 && p.jobs[i].not_before <= p.now {
-            plan.unmet.push((i, left));
+            plan.unmet.push(Unmet { job: i, tasks: left, late: left.saturating_sub(plan.timely) });
         }
     }
     plan
