--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -106,10 +106,17 @@
         (full - job.progress_s).max(full * 0.1).max(1.0)
     }
 
-    fn deadline(&self, job: &Job) -> f64 {
+    /// Up to how many times its deadline a job of a class still counts.
+    fn last_times(&self, class: &str) -> f64 {
+        let aims = &self.settings.params.objectives;
+        let times = aims.iter().filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(class));
+        times.filter_map(|o| o.times).fold(1.0, f64::max)
+    }
+
+    fn deadline(&self, job: &Job, times: f64) -> f64 {
         let s = &job.spec;
         if let Some(d) = s.due_s {
-            return job.submitted + d;
+            return job.submitted + d * times;
         }
         let within = |kind: &str| {
             self.settings
@@ -293,7 +300,8 @@
                 zone_load,
                 spot: s.spot,
                 submitted: job.submitted,
-                deadline: self.deadline(job),
+                deadline: self.deadline(job, 1.0),
+                last_chance: self.deadline(job, self.last_times(&s.class)),
                 team,
                 guaranteed,
                 not_before: job.not_before,
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -121,6 +121,9 @@
     pub submitted: f64,
     /// When it has to be complete.
     pub deadline: f64,
+    /// The latest end that still counts for something (the deadline itself
+    /// where nothing later does).
+    pub last_chance: f64,
     pub team: usize,
     /// Whether its team's guarantee covers it.
     pub guaranteed: bool,
@@ -266,6 +269,83 @@
 /// so that a flood cannot eat the processor.
 const PAIRWISE: usize = 64;
 
+/// How well a job can still do: 0 it meets its deadline, 1 its last chance,
+/// 2 neither. Judged with the queue ahead of it, not alone: when the work of a
+/// band exceeds what its machines can do in time, earliest-deadline order would
+/// make nearly every job a little late. The rule of Moore and Hodgson gives up
+/// the fewest: in deadline order, whenever one would be late, the largest so
+/// far goes.
+fn tiers(p: &Problem, by_deadline: &[usize]) -> Vec<u8> {
+    let mut tier = vec![2u8; p.jobs.len()];
+    let up: Vec<&Machine> = p.machines.iter().filter(|m| m.ready <= p.now + p.bound_s).collect();
+    // Running work holds the machines for a while yet.
+    let held: f64 = up
+        .iter()
+        .map(|m| {
+            let size = &p.types[m.kind].size;
+            m.busy.iter().map(|b| (b.end - p.now).max(0.0) * share(&b.takes, size)).sum::<f64>()
+                + (m.ready - p.now).max(0.0)
+        })
+        .sum::<f64>()
+        / (up.len().max(1) as f64);
+    // Time that the job's waiting tasks take of all its machines together.
+    let work = |i: usize| {
+        let job = &p.jobs[i];
+        let slots: f64 = up
+            .iter()
+            .filter(|m| {
+                job.kinds.contains(&m.kind) && (!m.spot || job.spot) && job.zone.is_none_or(|z| z == m.zone)
+            })
+            .map(|m| f64::from(p.types[m.kind].size.count(&job.needs)))
+            .sum();
+        job.waiting.len() as f64 * job.run_s / slots.max(0.5)
+    };
+    let mut bands: Vec<u8> = p.jobs.iter().map(|j| j.band).collect();
+    bands.sort_unstable();
+    bands.dedup();
+    for band in bands.into_iter().rev() {
+        let mut left: Vec<usize> = by_deadline.iter().copied().filter(|&i| p.jobs[i].band == band).collect();
+        let mut ahead = held;
+        for level in 0..2u8 {
+            let due = |i: usize| if level == 0 { p.jobs[i].deadline } else { p.jobs[i].last_chance };
+            left.sort_by(|&a, &b| due(a).total_cmp(&due(b)).then(a.cmp(&b)));
+            let (mut kept, mut dropped): (Vec<(f64, usize)>, Vec<usize>) = (Vec::new(), Vec::new());
+            let mut total = ahead;
+            for i in left {
+                let w = work(i);
+                kept.push((w, i));
+                total += w;
+                while p.now + total.max(0.0) + p.jobs[i].run_s > due(i) {
+                    let Some(at) = (0..kept.len())
+                        .max_by(|&a, &b| kept[a].0.total_cmp(&kept[b].0).then(kept[a].1.cmp(&kept[b].1)))
+                    else {
+                        break;
+                    };
+                    let (w, gone) = kept.swap_remove(at);
+                    total -= w;
+                    dropped.push(gone);
+                    if gone == i {
+                        break;
+                    }
+                }
+            }
+            for &(_, i) in &kept {
+                tier[i] = level;
+            }
+            ahead = total;
+            left = dropped;
+        }
+    }
+    tier
+}
+
+/// Part of a machine that `takes` holds.
+fn share(takes: &Amounts, size: &Amounts) -> f64 {
+    (takes.cores / size.cores.max(SLACK))
+        .max(takes.accelerators / size.accelerators.max(SLACK))
+        .max(takes.memory_gb / size.memory_gb.max(SLACK))
+}
+
 /// Jobs by falling priority. Urgency bands come first; inside a band, work
 /// that a guarantee covers, then jobs that can still meet their deadline, then
 /// the summed pairwise deferral cost, then the earlier deadline.
@@ -275,13 +355,13 @@
     all.sort_by(|&a, &b| p.jobs[a].deadline.total_cmp(&p.jobs[b].deadline).then(a.cmp(&b)));
     let among: Vec<usize> = all.iter().copied().take(PAIRWISE).collect();
     let cost: Vec<f64> = (0..p.jobs.len()).map(|i| deferral(&p.types, &ends, &p.jobs, &among, i)).collect();
+    let tier = tiers(p, &all);
     all.sort_by(|&a, &b| {
         let (x, y) = (&p.jobs[a], &p.jobs[b]);
-        let late = |i: usize| ends[i].1 > p.jobs[i].deadline;
         y.band
             .cmp(&x.band)
             .then(y.guaranteed.cmp(&x.guaranteed))
-            .then(late(a).cmp(&late(b)))
+            .then(tier[a].cmp(&tier[b]))
             .then(cost[b].partial_cmp(&cost[a]).unwrap_or(Ordering::Equal))
             .then(x.deadline.total_cmp(&y.deadline))
             .then(a.cmp(&b))
@@ -580,12 +660,8 @@
                     break;
                 }
                 free.give(&takes);
-                let t = &self.p.types[machine.kind];
                 // Lost work counts by the share of the machine that it held.
-                let share = (takes.cores / t.size.cores.max(SLACK))
-                    .max(takes.accelerators / t.size.accelerators.max(SLACK))
-                    .max(takes.memory_gb / t.size.memory_gb.max(SLACK));
-                lost += v.lost_s * share;
+                lost += v.lost_s * share(&takes, &self.p.types[machine.kind].size);
                 stop = stop.max(v.stop_s);
                 chosen.push(at);
             }
@@ -657,9 +733,9 @@
             if !self.team_allows(&job, 1) {
                 break;
             }
-            let options = self.options(&job, None, zone);
-            let found = options
-                .iter()
+            let found = self
+                .options(&job, None, zone)
+                .into_iter()
                 .find(|o| job.zone_cap.is_none_or(|c| load[self.p.machines[o.machine].zone] < c));
             let Some(o) = found else { break };
             let machine = &self.p.machines[o.machine];
