--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -95,6 +95,9 @@
         l.serial += 1;
         let serial = l.serial;
         l.commit = Some(InFlight { serial, parts });
+        if !self.guards.versions {
+            txn.conditions.clear();
+        }
         self.state(Purpose::Commit { token, serial }, StateOp::Commit(txn));
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -101,7 +101,40 @@
     }
 }
 
+/// Safety guards, all on. Tests turn one off to show that the simulation
+/// notices.
+#[derive(Debug, Clone, Copy)]
+pub struct Guards {
+    /// Launch only what is committed.
+    pub write_ahead: bool,
+    /// Absence proves something only in a report that has this leader's token.
+    pub settled_only: bool,
+    /// Stop answering reports when the grace is over.
+    pub grace: bool,
+    /// Wait for the lease of a silent machine before its work is placed anew.
+    pub lease_wait: bool,
+    /// Count placements against the team's limit.
+    pub quota: bool,
+    /// A cancellation replaces only the version that it read, and the leader
+    /// only the version that it knows.
+    pub versions: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Self {
+        Guards {
+            write_ahead: true,
+            settled_only: true,
+            grace: true,
+            lease_wait: true,
+            quota: true,
+            versions: true,
+        }
+    }
+}
+
 pub struct Core {
+    pub guards: Guards,
     pub(crate) settings: Settings,
     pub(crate) d: Derived,
     pub(crate) rng: SmallRng,
@@ -132,6 +165,7 @@
         let d = Derived::from(&settings);
         let nodes = f64::from(settings.params.nodes.max(1));
         Core {
+            guards: Guards::default(),
             rng: SmallRng::seed_from_u64(seed),
             now: 0.0,
             wall: 0.0,
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -219,7 +219,7 @@
             let need = needs(&job.spec);
             let team = team_of(&job.spec.team);
             for (task, p) in &job.places {
-                if let Some(t) = team.map(|t| &mut teams[t]) {
+                if let Some(t) = team.filter(|_| self.guards.quota).map(|t| &mut teams[t]) {
                     if let Some(x) = &mut t.cores_left {
                         *x -= need.cores;
                     }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -34,7 +34,7 @@
         };
         // Past the grace a cancellation may have been told that this node
         // cannot see: the workers' leases have to run out in time for it.
-        if now > l.confirmed + grace {
+        if now > l.confirmed + grace && self.guards.grace {
             return self.refuse(req, 503, "state service not reached");
         }
         let token = l.token;
@@ -97,7 +97,7 @@
         }
         // Only a worker that has seen this leader's token is past every
         // earlier leader's commands: absence proves nothing before.
-        let settled = beat && report.token == token;
+        let settled = beat && (report.token == token || !self.guards.settled_only);
         let mut touched: Vec<String> = Vec::new();
         let mut exits: Vec<(String, u32, TaskReport)> = Vec::new();
         for t in &report.tasks {
@@ -313,6 +313,7 @@
 
     fn commands_for(&mut self, machine: &str) -> ReportAnswer {
         let entitled = self.entitled();
+        let write_ahead = self.guards.write_ahead;
         let Role::Leader(l) = &mut self.role else {
             return ReportAnswer { token: 0, commands: Vec::new() };
         };
@@ -347,7 +348,7 @@
                 }
                 for (&task, p) in job.places.iter_mut() {
                     let due = p.machine == machine
-                        && p.committed
+                        && (p.committed || !write_ahead)
                         && !p.inherited
                         && p.seen.is_none()
                         && p.stopping.is_none();
@@ -391,7 +392,7 @@
     /// after silent machines.
     pub(crate) fn machines_on_time(&mut self) {
         let now = self.now;
-        let over = self.d.lease_over_s + self.d.worker_timeout_s;
+        let over = if self.guards.lease_wait { self.d.lease_over_s + self.d.worker_timeout_s } else { 0.0 };
         let silent_s = self.d.silent_s;
         let Role::Leader(l) = &mut self.role else { return };
         let up = l.machines.values().filter(|m| m.life == Life::Up && m.heard.is_some()).count();
--- /dev/null
+++ b/crates/testkit/src/cloud.rs
@@ -0,0 +1,110 @@
+//! The cloud: machines that boot, a list that lags.
+
+use engine::{CloudOp, CloudReply};
+use std::collections::BTreeMap;
+use wire::cloud::*;
+
+#[derive(Debug, Clone)]
+pub struct Rented {
+    pub listed: ListedMachine,
+    pub at: f64,
+    pub up_at: f64,
+}
+
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub machines: BTreeMap<String, Rented>,
+    /// What the list shows: the machines as they were some time ago.
+    history: Vec<(f64, Vec<ListedMachine>)>,
+    answered: BTreeMap<String, Vec<String>>,
+    next: u32,
+    pub capacity: usize,
+    pub lag: f64,
+    pub deleted: Vec<String>,
+}
+
+impl Cloud {
+    pub fn new(types: Vec<MachineType>, capacity: usize, lag: f64) -> Self {
+        Cloud {
+            types,
+            machines: BTreeMap::new(),
+            history: Vec::new(),
+            answered: BTreeMap::new(),
+            next: 1,
+            capacity,
+            lag,
+            deleted: Vec::new(),
+        }
+    }
+
+    pub fn snapshot(&mut self, now: f64) {
+        let list = self
+            .machines
+            .values()
+            .map(|m| {
+                let mut l = m.listed.clone();
+                l.age_s = now - m.at;
+                l.state = if now >= m.up_at { MachineState::Running } else { MachineState::Booting };
+                l
+            })
+            .collect();
+        self.history.push((now, list));
+        self.history.retain(|(t, _)| now - t < 60.0);
+    }
+
+    pub fn remove(&mut self, id: &str) {
+        self.machines.remove(id);
+        self.deleted.push(id.to_string());
+    }
+
+    pub fn execute(&mut self, now: f64, op: &CloudOp, late: f64, boot: f64) -> CloudReply {
+        match op {
+            CloudOp::Types => CloudReply::Types(MachineTypes { types: self.types.clone() }),
+            CloudOp::List { .. } => {
+                let as_of = now - self.lag * late;
+                let machines = self
+                    .history
+                    .iter()
+                    .rev()
+                    .find(|(t, _)| *t <= as_of)
+                    .map(|(_, l)| l.clone())
+                    .unwrap_or_default();
+                CloudReply::List(MachineList { machines, more: false })
+            }
+            CloudOp::Rent(r) => {
+                if let Some(done) = self.answered.get(&r.request) {
+                    return CloudReply::Machines(Machines { machines: done.clone() });
+                }
+                let room = self.capacity.saturating_sub(self.machines.len()).min(r.count as usize);
+                if room == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..room {
+                    let id = format!("vm-{:06}", self.next);
+                    let addr = format!("10.9.{}.{}:9000", self.next / 250, self.next % 250 + 1);
+                    self.next += 1;
+                    names.push(id.clone());
+                    let listed = ListedMachine {
+                        id: id.clone(),
+                        addr: Some(addr),
+                        machine_type: r.machine_type.clone(),
+                        zone: r.zone.clone(),
+                        spot: r.spot,
+                        state: MachineState::Booting,
+                        age_s: 0.0,
+                    };
+                    self.machines.insert(id, Rented { listed, at: now, up_at: now + boot });
+                }
+                self.answered.insert(r.request.clone(), names.clone());
+                CloudReply::Machines(Machines { machines: names })
+            }
+            CloudOp::Delete(names) => {
+                for n in names {
+                    self.remove(n);
+                }
+                CloudReply::Done
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/rules.rs
@@ -0,0 +1,75 @@
+//! The protocol's rules, judged on what really happens.
+
+use std::collections::{BTreeMap, BTreeSet};
+use wire::job::{JobSpec, JobStatus};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: f64,
+    pub what: String,
+}
+
+/// What the users of a run know, and what is true.
+#[derive(Default)]
+pub struct Ledger {
+    pub specs: BTreeMap<String, JobSpec>,
+    pub submitted: BTreeSet<String>,
+    pub accepted: BTreeSet<String>,
+    pub told: BTreeMap<String, JobStatus>,
+    /// When a user asked for it, and when it was told.
+    pub cancel_asked: BTreeSet<String>,
+    pub cancelled_at: BTreeMap<String, f64>,
+    pub done: BTreeMap<String, BTreeSet<u32>>,
+    pub broken: Vec<Broken>,
+}
+
+impl Ledger {
+    pub fn break_rule(&mut self, rule: Rule, at: f64, what: String) {
+        if self.broken.len() < 20 {
+            self.broken.push(Broken { rule, at, what });
+        }
+    }
+
+    /// A user was told `status` of `id` (None: 404).
+    pub fn tell(&mut self, now: f64, id: &str, status: Option<JobStatus>) {
+        let Some(status) = status else {
+            if self.accepted.contains(id) {
+                self.break_rule(Rule::Forgotten, now, format!("{id} got 404"));
+            }
+            return;
+        };
+        if !self.submitted.contains(id) {
+            return self.break_rule(Rule::Invented, now, id.to_string());
+        }
+        self.accepted.insert(id.to_string());
+        let all = self.specs.get(id).map_or(0, |s| s.tasks as usize);
+        if status == JobStatus::Done && self.done.get(id).map_or(0, BTreeSet::len) < all {
+            self.break_rule(Rule::NotDone, now, id.to_string());
+        }
+        if status == JobStatus::Cancelled && !self.cancel_asked.contains(id) {
+            self.break_rule(Rule::WentBack, now, format!("{id} was not cancelled"));
+        }
+        if let Some(old) = self.told.get(id).copied() {
+            if old.is_final() && old != status {
+                self.break_rule(Rule::WentBack, now, format!("{id} from {old:?} to {status:?}"));
+            }
+        }
+        if status == JobStatus::Cancelled {
+            self.cancelled_at.entry(id.to_string()).or_insert(now);
+        }
+        self.told.insert(id.to_string(), status);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/sim.rs
@@ -0,0 +1,921 @@
+//! A seeded simulation of a deployment: several cores, the outside world's
+//! stand-ins, and a network that loses, delays and holds messages.
+
+use crate::cloud::Cloud;
+use crate::rules::{Broken, Ledger, Rule};
+use crate::state::Store;
+use crate::worker::{Launch, Phase, TaskKey, Worker};
+use engine::*;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use settings::Settings;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use wire::cloud::MachineType;
+use wire::job::*;
+use wire::worker::*;
+
+/// Trouble at a set time.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    Crash {
+        node: usize,
+        for_s: f64,
+    },
+    /// No node is served by the state service.
+    StateOutage {
+        for_s: f64,
+    },
+    /// One node alone is refused by it.
+    StateRefuses {
+        node: usize,
+        for_s: f64,
+    },
+    /// Messages between a node and the state service, the workers or both
+    /// are held and delivered late.
+    Cut {
+        node: usize,
+        state: bool,
+        workers: bool,
+        for_s: f64,
+    },
+    CloudOutage {
+        for_s: f64,
+    },
+    /// A machine hangs: its clock goes on, it does nothing.
+    Hang {
+        nth: usize,
+        for_s: f64,
+    },
+    /// A machine is gone without notice.
+    Take {
+        nth: usize,
+    },
+    /// A machine fails every task that it starts.
+    Sick {
+        nth: usize,
+    },
+}
+
+pub struct Setup {
+    pub settings: Settings,
+    pub types: Vec<MachineType>,
+    pub capacity: usize,
+    pub jobs: Vec<(f64, JobSpec, Option<f64>)>,
+    pub faults: Vec<(f64, Fault)>,
+    pub seed: u64,
+    pub loss: f64,
+    pub guards: Guards,
+}
+
+enum Ev {
+    Tick(usize, u64),
+    StateArrives(usize, u64, CallId, StateOp),
+    CloudArrives(usize, u64, CallId, CloudOp),
+    DoArrives(usize, u64, CallId, String, DirectCommands),
+    Reply(usize, u64, Input),
+    GiveUp(usize, u64, CallId, Input),
+    Work(String),
+    ReportArrives(String, u64, usize, Vec<u8>),
+    AnswerArrives(String, u64, usize, Answer),
+    ReportGivenUp(String, u64),
+    User(String),
+    UserArrives(String, u64, usize, Request),
+    UserAnswer(String, u64, Answer),
+    UserGivesUp(String, u64),
+    Fault(usize),
+    World,
+}
+
+struct Entry(f64, u64, Ev);
+impl PartialEq for Entry {
+    fn eq(&self, o: &Self) -> bool {
+        self.0 == o.0 && self.1 == o.1
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&o.0).then(self.1.cmp(&o.1))
+    }
+}
+
+struct Node {
+    core: Option<Core>,
+    incarnation: u64,
+    started: f64,
+    /// This node's steady clock against true time.
+    rate: f64,
+    next_request: RequestId,
+    asked: BTreeMap<RequestId, Asker>,
+    cut_state: f64,
+    cut_workers: f64,
+    refused: f64,
+}
+
+#[derive(Clone)]
+enum Asker {
+    Worker(String, u64),
+    User(String, u64),
+}
+
+struct Watch {
+    node: usize,
+    incarnation: u64,
+    call: CallId,
+    op: StateOp,
+    until: f64,
+}
+
+/// One user, with one request at a time.
+struct User {
+    cancel_at: Option<f64>,
+    asked: u64,
+    waiting: bool,
+    over: bool,
+}
+
+pub struct Sim {
+    pub now: f64,
+    pub ledger: Ledger,
+    pub starts: u64,
+    /// Longest time without a node that answers reports.
+    pub leaderless_s: f64,
+    last_lead: f64,
+    settings: Settings,
+    guards: Guards,
+    faults: Vec<Fault>,
+    loss: f64,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<Entry>>,
+    count: u64,
+    nodes: Vec<Node>,
+    store: Store,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    watches: Vec<Watch>,
+    open: BTreeMap<(usize, u64, CallId), u8>,
+    users: BTreeMap<String, User>,
+    state_down: f64,
+    cloud_down: f64,
+}
+
+const NODE_NAMES: [&str; 3] = ["n-0", "n-1", "n-2"];
+
+impl Sim {
+    pub fn new(setup: Setup) -> Self {
+        let mut rng = SmallRng::seed_from_u64(setup.seed);
+        let nodes = (0..3)
+            .map(|_| Node {
+                core: None,
+                incarnation: 0,
+                started: 0.0,
+                rate: 1.0 + rng.gen_range(-0.0005..0.0005),
+                next_request: 0,
+                asked: BTreeMap::new(),
+                cut_state: 0.0,
+                cut_workers: 0.0,
+                refused: 0.0,
+            })
+            .collect();
+        let lag = setup.settings.params.cloud.list_lag_s;
+        let mut sim = Sim {
+            now: 0.0,
+            ledger: Ledger::default(),
+            starts: 0,
+            leaderless_s: 0.0,
+            last_lead: 0.0,
+            guards: setup.guards,
+            faults: Vec::new(),
+            loss: setup.loss,
+            rng,
+            queue: BinaryHeap::new(),
+            count: 0,
+            nodes,
+            store: Store::default(),
+            cloud: Cloud::new(setup.types, setup.capacity, lag),
+            workers: BTreeMap::new(),
+            watches: Vec::new(),
+            open: BTreeMap::new(),
+            users: BTreeMap::new(),
+            state_down: 0.0,
+            cloud_down: 0.0,
+            settings: setup.settings,
+        };
+        for (at, spec, cancel_at) in setup.jobs {
+            let id = spec.id.clone();
+            sim.users.insert(id.clone(), User { cancel_at, asked: 0, waiting: false, over: false });
+            sim.ledger.specs.insert(id.clone(), spec);
+            sim.push(at, Ev::User(id));
+        }
+        for (at, f) in setup.faults {
+            sim.faults.push(f);
+            sim.push(at, Ev::Fault(sim.faults.len() - 1));
+        }
+        for n in 0..3 {
+            sim.start(n);
+        }
+        sim.push(0.0, Ev::World);
+        sim
+    }
+
+    fn push(&mut self, at: f64, ev: Ev) {
+        self.count += 1;
+        self.queue.push(Reverse(Entry(at.max(self.now), self.count, ev)));
+    }
+
+    fn start(&mut self, n: usize) {
+        let mut s = self.settings.clone();
+        s.node = NODE_NAMES[n].to_string();
+        let mut core = Core::new(s, self.rng.gen());
+        core.guards = self.guards;
+        let node = &mut self.nodes[n];
+        node.core = Some(core);
+        node.incarnation += 1;
+        node.started = self.now;
+        node.asked.clear();
+        let inc = node.incarnation;
+        self.push(self.now + 0.01, Ev::Tick(n, inc));
+    }
+
+    fn alive(&self, n: usize, inc: u64) -> bool {
+        self.nodes[n].core.is_some() && self.nodes[n].incarnation == inc
+    }
+
+    fn delay(&mut self) -> f64 {
+        self.rng.gen_range(0.001..0.01)
+            + if self.rng.gen_bool(0.02) { self.rng.gen_range(0.0..0.4) } else { 0.0 }
+    }
+
+    /// When a message gets through a link that is cut until `until`.
+    fn through(&mut self, until: f64) -> Option<f64> {
+        let d = self.delay();
+        if self.now < until {
+            return Some(until + d);
+        }
+        let lost = self.rng.gen_bool(self.loss);
+        (!lost).then_some(self.now + d)
+    }
+
+    fn feed(&mut self, n: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let Some(core) = &mut node.core else { return };
+        let steady = (now - node.started) * node.rate;
+        let out = core.handle(steady, 1e9 + now, input);
+        for o in out {
+            self.carry_out(n, o);
+        }
+    }
+
+    fn open_call(&mut self, n: usize, call: CallId, timeout: f64, unknown: Input) {
+        let inc = self.nodes[n].incarnation;
+        self.open.insert((n, inc, call), 0);
+        self.push(self.now + timeout, Ev::GiveUp(n, inc, call, unknown));
+    }
+
+    fn carry_out(&mut self, n: usize, o: Output) {
+        let inc = self.nodes[n].incarnation;
+        match o {
+            Output::Answer(id, answer) => {
+                let Some(asker) = self.nodes[n].asked.remove(&id) else { return };
+                match asker {
+                    Asker::Worker(vm, seq) => {
+                        let cut = self.nodes[n].cut_workers;
+                        if let Some(at) = self.through(cut) {
+                            self.push(at, Ev::AnswerArrives(vm, seq, n, answer));
+                        }
+                    }
+                    Asker::User(id, asked) => {
+                        let d = self.delay();
+                        self.push(self.now + d, Ev::UserAnswer(id, asked, answer));
+                    }
+                }
+            }
+            Output::State(call, op) => {
+                let wait = match &op {
+                    StateOp::Watch { wait_ms, .. } => *wait_ms as f64 / 1000.0,
+                    _ => 0.0,
+                };
+                self.open_call(n, call, 1.5 + wait, Input::State(call, StateReply::Unknown));
+                let cut = self.nodes[n].cut_state;
+                if let Some(at) = self.through(cut) {
+                    self.push(at, Ev::StateArrives(n, inc, call, op));
+                }
+            }
+            Output::Cloud(call, op) => {
+                self.open_call(n, call, 5.0, Input::Cloud(call, CloudReply::Unknown));
+                if let Some(at) = self.through(0.0) {
+                    self.push(at + 0.1, Ev::CloudArrives(n, inc, call, op));
+                }
+            }
+            Output::Worker(call, addr, body) => {
+                self.open_call(n, call, 2.0, Input::Worker(call, WorkerReply::Failed));
+                let cut = self.nodes[n].cut_workers;
+                if let Some(at) = self.through(cut) {
+                    self.push(at, Ev::DoArrives(n, inc, call, addr, body));
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, n: usize, inc: u64, input: Input, cut: f64) {
+        if let Some(at) = self.through(cut) {
+            self.push(at, Ev::Reply(n, inc, input));
+        }
+    }
+
+    /// Runs until `end`, or until a rule is broken.
+    pub fn run(&mut self, end: f64) -> &[Broken] {
+        while let Some(Reverse(Entry(at, _, ev))) = self.queue.pop() {
+            if at > end {
+                self.push(at, ev);
+                self.now = end;
+                break;
+            }
+            self.now = at;
+            self.step(ev);
+            if !self.ledger.broken.is_empty() {
+                break;
+            }
+        }
+        &self.ledger.broken
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick(n, inc) => {
+                if self.alive(n, inc) {
+                    self.feed(n, Input::Tick);
+                    let pause = self.nodes[n].core.as_ref().map_or(1.0, Core::wake_s);
+                    self.push(self.now + pause, Ev::Tick(n, inc));
+                }
+            }
+            Ev::StateArrives(n, inc, call, op) => self.state_arrives(n, inc, call, op),
+            Ev::CloudArrives(n, inc, call, op) => {
+                let r = if self.now < self.cloud_down {
+                    CloudReply::Refused
+                } else {
+                    let late = self.rng.gen_range(1.0..2.0);
+                    let boot = self.rng.gen_range(2.0..12.0);
+                    self.cloud.execute(self.now, &op, late, boot)
+                };
+                self.drop_deleted();
+                self.reply(n, inc, Input::Cloud(call, r), 0.0);
+            }
+            Ev::DoArrives(n, inc, call, addr, body) => self.do_arrives(n, inc, call, &addr, &body),
+            Ev::Reply(n, inc, input) => {
+                let call = match &input {
+                    Input::State(c, _) | Input::Cloud(c, _) | Input::Worker(c, _) => *c,
+                    _ => 0,
+                };
+                if self.open.remove(&(n, inc, call)).is_some() && self.alive(n, inc) {
+                    self.feed(n, input);
+                }
+            }
+            Ev::GiveUp(n, inc, call, input) => {
+                if self.open.remove(&(n, inc, call)).is_some() && self.alive(n, inc) {
+                    self.feed(n, input);
+                }
+            }
+            Ev::Work(vm) => self.work(&vm),
+            Ev::ReportArrives(vm, seq, n, body) => {
+                if self.nodes[n].core.is_some() {
+                    self.ask(n, Asker::Worker(vm, seq), Request::Report(body));
+                }
+            }
+            Ev::AnswerArrives(vm, seq, n, a) => self.answer_arrives(&vm, seq, n, &a),
+            Ev::ReportGivenUp(vm, seq) => {
+                if let Some(w) = self.workers.get_mut(&vm) {
+                    if w.in_flight.is_some_and(|f| f.0 == seq) {
+                        w.in_flight = None;
+                        w.node = (w.node + 1) % 3;
+                        w.next_report = self.now + 1.0;
+                    }
+                }
+            }
+            Ev::User(id) => self.user_acts(&id),
+            Ev::UserArrives(id, asked, n, r) => {
+                if self.nodes[n].core.is_some() {
+                    self.ask(n, Asker::User(id, asked), r);
+                }
+            }
+            Ev::UserAnswer(id, asked, a) => self.user_answer(&id, asked, &a),
+            Ev::UserGivesUp(id, asked) => {
+                if let Some(u) = self.users.get_mut(&id).filter(|u| u.waiting && u.asked == asked) {
+                    u.waiting = false;
+                    self.push(self.now + 1.0, Ev::User(id));
+                }
+            }
+            Ev::Fault(i) => self.fault(i),
+            Ev::World => {
+                self.world();
+                self.push(self.now + 0.1, Ev::World);
+            }
+        }
+    }
+
+    fn ask(&mut self, n: usize, asker: Asker, r: Request) {
+        let node = &mut self.nodes[n];
+        node.next_request += 1;
+        let id = node.next_request;
+        node.asked.insert(id, asker);
+        self.feed(n, Input::Request(id, r));
+    }
+
+    fn state_arrives(&mut self, n: usize, inc: u64, call: CallId, op: StateOp) {
+        let cut = self.nodes[n].cut_state;
+        let is_watch = matches!(op, StateOp::Watch { .. });
+        if self.now < self.state_down || self.now < self.nodes[n].refused {
+            // Open watches wait; what comes anew is refused.
+            return self.reply(n, inc, Input::State(call, StateReply::Refused), cut);
+        }
+        let before = self.store.revision;
+        match self.store.execute(self.now, &op) {
+            Some(r) => self.reply(n, inc, Input::State(call, r), cut),
+            None if is_watch => {
+                let StateOp::Watch { wait_ms, .. } = &op else { return };
+                let until = self.now + *wait_ms as f64 / 1000.0;
+                self.watches.push(Watch { node: n, incarnation: inc, call, op, until });
+            }
+            None => {}
+        }
+        if self.store.revision != before {
+            self.wake_watches();
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        for w in std::mem::take(&mut self.watches) {
+            let held = self.now < self.state_down || self.now < self.nodes[w.node].refused;
+            let reply = if held {
+                None
+            } else {
+                let r = self.store.execute(self.now, &w.op);
+                r.or_else(|| (self.now >= w.until).then(|| self.store.quiet()))
+            };
+            match reply {
+                Some(r) => {
+                    let cut = self.nodes[w.node].cut_state;
+                    self.reply(w.node, w.incarnation, Input::State(w.call, r), cut);
+                }
+                None => self.watches.push(w),
+            }
+        }
+    }
+
+    fn launch_of(&mut self, job: &str) -> Option<Launch> {
+        self.ledger.submitted.contains(job).then(|| Launch { fetch_s: self.rng.gen_range(0.5..4.0) })
+    }
+
+    fn execute(&mut self, vm: &str, commands: &[Command]) {
+        for c in commands {
+            let launch = split_task(&c.task).and_then(|(j, _)| self.launch_of(j));
+            let now = self.now;
+            if let Some(w) = self.workers.get_mut(vm) {
+                w.command(now, c, launch);
+            }
+        }
+        let at = self.workers.get(vm).map(|w| w.next_report);
+        if let Some(at) = at {
+            self.push(at, Ev::Work(vm.to_string()));
+        }
+    }
+
+    fn do_arrives(&mut self, n: usize, inc: u64, call: CallId, addr: &str, body: &DirectCommands) {
+        let vm =
+            self.workers.values().find(|w| w.place.addr.as_deref() == Some(addr)).map(|w| w.place.id.clone());
+        let Some(vm) = vm else { return };
+        let lease_s = self.settings.params.workers.lease_s;
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&vm) else { return };
+        if now < w.hung_until {
+            let at = w.hung_until;
+            return self.push(at, Ev::DoArrives(n, inc, call, addr.to_string(), body.clone()));
+        }
+        w.expire(now, lease_s);
+        let executed = body.token >= w.token && body.session == w.session;
+        w.see_token(body.token, now, lease_s);
+        if executed {
+            self.execute(&vm, &body.commands);
+        }
+        let Some(w) = self.workers.get_mut(&vm) else { return };
+        let report = Box::new(w.report());
+        let cut = self.nodes[n].cut_workers;
+        self.reply(n, inc, Input::Worker(call, WorkerReply::Report { executed, report }), cut);
+    }
+
+    fn answer_arrives(&mut self, vm: &str, seq: u64, n: usize, a: &Answer) {
+        let lease_s = self.settings.params.workers.lease_s;
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(vm) else { return };
+        if now < w.hung_until {
+            let at = w.hung_until;
+            return self.push(at, Ev::AnswerArrives(vm.to_string(), seq, n, a.clone()));
+        }
+        let Some((_, session, sent)) = w.in_flight.filter(|f| f.0 == seq) else { return };
+        w.in_flight = None;
+        w.expire(now, lease_s);
+        if session != w.session {
+            return;
+        }
+        match a.status {
+            200 => {
+                let Ok(answer) = wire::decode::<ReportAnswer>(&a.body) else { return };
+                if answer.token < w.token {
+                    return;
+                }
+                w.see_token(answer.token, now, lease_s);
+                w.renewed = w.renewed.max(sent);
+                self.execute(vm, &answer.commands);
+            }
+            421 => {
+                let to = wire::decode::<Redirect>(&a.body).ok().and_then(|r| r.report_to);
+                let known = to.and_then(|t| NODE_NAMES.iter().position(|n| *n == t)).filter(|&t| t != n);
+                w.next_report = now + if known.is_some() { 0.2 } else { 1.0 };
+                w.node = known.unwrap_or((w.node + 1) % 3);
+            }
+            _ => {
+                w.node = (w.node + 1) % 3;
+                w.next_report = now + 1.0;
+            }
+        }
+        let at = self.workers[vm].next_report;
+        self.push(at, Ev::Work(vm.to_string()));
+    }
+
+    /// A worker's turn: its lease, then its report.
+    fn work(&mut self, vm: &str) {
+        let p = self.settings.params.workers.clone();
+        let now = self.now;
+        let jitter = self.rng.gen_range(0.75..1.25);
+        let Some(w) = self.workers.get_mut(vm) else { return };
+        if now < w.hung_until {
+            let at = w.hung_until;
+            return self.push(at, Ev::Work(vm.to_string()));
+        }
+        w.expire(now, p.lease_s);
+        if w.in_flight.is_some() || now + 1e-9 < w.next_report {
+            return;
+        }
+        let report = w.report();
+        w.in_flight = Some((w.seq, w.session, now));
+        w.last_report = now;
+        w.next_report = now + p.report_s * jitter;
+        let (seq, node, next) = (w.seq, w.node, w.next_report);
+        let cut = self.nodes[node].cut_workers;
+        if let Some(at) = self.through(cut) {
+            self.push(at, Ev::ReportArrives(vm.to_string(), seq, node, wire::encode(&report)));
+        }
+        self.push(now + 4.0, Ev::ReportGivenUp(vm.to_string(), seq));
+        self.push(next, Ev::Work(vm.to_string()));
+    }
+
+    fn drop_deleted(&mut self) {
+        for id in std::mem::take(&mut self.cloud.deleted) {
+            self.workers.remove(&id);
+        }
+    }
+
+    /// Progress of everything that is not a message.
+    fn world(&mut self) {
+        let now = self.now;
+        if now >= self.state_down {
+            self.store.expire(now);
+        }
+        self.wake_watches();
+        self.cloud.snapshot(now);
+        let booted: Vec<_> = self
+            .cloud
+            .machines
+            .values()
+            .filter(|m| now >= m.up_at && !self.workers.contains_key(&m.listed.id))
+            .map(|m| m.listed.clone())
+            .collect();
+        for place in booted {
+            let id = place.id.clone();
+            let node = self.rng.gen_range(0..3);
+            self.workers.insert(id.clone(), Worker::new(place, now, node));
+            self.push(now, Ev::Work(id));
+        }
+        let ids: Vec<String> = self.workers.keys().cloned().collect();
+        for id in &ids {
+            self.push(now, Ev::Work(id.clone()));
+        }
+        self.tasks_go_on();
+        self.check();
+        let led = self.nodes.iter().any(|n| n.core.as_ref().is_some_and(Core::is_leader));
+        if led {
+            self.last_lead = now;
+        }
+        self.leaderless_s = self.leaderless_s.max(now - self.last_lead);
+    }
+
+    fn tasks_go_on(&mut self) {
+        let now = self.now;
+        let p = self.settings.params.workers.clone();
+        let mut arrived: Vec<(String, TaskKey)> = Vec::new();
+        let mut finished: Vec<(TaskKey, u64)> = Vec::new();
+        for (id, w) in &mut self.workers {
+            if now < w.hung_until {
+                continue;
+            }
+            if w.expire(now, p.lease_s) {
+                continue;
+            }
+            let faulty = w.faulty;
+            let mut changed = false;
+            for (key, t) in &mut w.tasks {
+                let next = match &t.phase {
+                    Phase::Fetching { until } if now >= *until => {
+                        arrived.push((id.clone(), key.clone()));
+                        if self.ledger.done.get(&key.0).is_some_and(|d| d.contains(&key.1)) {
+                            Some(Phase::Exited(ExitCause::Done))
+                        } else if faulty {
+                            Some(Phase::Exited(ExitCause::Error))
+                        } else {
+                            Some(Phase::Waiting { since: now })
+                        }
+                    }
+                    Phase::Waiting { since } if now - since > p.gang_wait_s => {
+                        Some(Phase::Exited(ExitCause::Alone))
+                    }
+                    Phase::Running { until } if now >= *until => {
+                        finished.push((key.clone(), t.attempt));
+                        Some(Phase::Exited(ExitCause::Done))
+                    }
+                    Phase::Orphaned { until } if now >= *until => Some(Phase::Exited(ExitCause::Peers)),
+                    _ => None,
+                };
+                if let Some(phase) = next {
+                    t.phase = phase;
+                    changed = true;
+                }
+            }
+            if changed {
+                w.hurry(now);
+            }
+        }
+        for (vm, key) in arrived {
+            self.starts += 1;
+            self.check_start(&vm, &key);
+        }
+        // A gang completes together.
+        for ((job, n), attempt) in finished {
+            let gang = self.ledger.specs[&job].shape == Shape::Gang;
+            let done = self.ledger.done.entry(job.clone()).or_default();
+            if !gang {
+                done.insert(n);
+                continue;
+            }
+            done.extend(0..self.ledger.specs[&job].tasks);
+            for w in self.workers.values_mut() {
+                for (key, t) in &mut w.tasks {
+                    if key.0 == job && t.attempt == attempt && matches!(t.phase, Phase::Running { .. }) {
+                        t.phase = Phase::Exited(ExitCause::Done);
+                    }
+                }
+            }
+        }
+        self.gangs_go_on();
+    }
+
+    /// Waiting tasks start once their gang is complete; a running gang that
+    /// lost a task notices.
+    fn gangs_go_on(&mut self) {
+        let now = self.now;
+        let peer_s = self.settings.params.workers.gang_peer_s;
+        let mut members: BTreeMap<(String, u64), (u32, u32)> = BTreeMap::new();
+        for w in self.workers.values() {
+            for (key, t) in &w.tasks {
+                let m = members.entry((key.0.clone(), t.attempt)).or_default();
+                match t.phase {
+                    Phase::Waiting { .. } => m.0 += 1,
+                    Phase::Running { .. } if now >= w.hung_until => m.1 += 1,
+                    _ => {}
+                }
+            }
+        }
+        for ((job, attempt), (waiting, running)) in members {
+            let spec = self.ledger.specs[&job].clone();
+            let gang = spec.shape == Shape::Gang;
+            let run = spec.estimate_s * self.rng.gen_range(0.5..1.6);
+            let run = if spec.shape == Shape::Service { f64::MAX / 4.0 } else { run };
+            for w in self.workers.values_mut() {
+                let mut changed = false;
+                for (key, t) in &mut w.tasks {
+                    if key.0 != job || t.attempt != attempt {
+                        continue;
+                    }
+                    let begin = !gang || waiting == spec.tasks;
+                    if matches!(t.phase, Phase::Waiting { .. }) && begin {
+                        t.phase = Phase::Running { until: now + run };
+                        changed = true;
+                    } else if gang
+                        && running > 0
+                        && running < spec.tasks
+                        && matches!(t.phase, Phase::Running { .. })
+                    {
+                        t.phase = Phase::Orphaned { until: now + peer_s };
+                    }
+                }
+                if changed {
+                    w.hurry(now);
+                }
+            }
+        }
+    }
+
+    /// Rules on a start: not on two machines, allowed type, zone and kind.
+    fn check_start(&mut self, vm: &str, key: &TaskKey) {
+        let now = self.now;
+        let spec = self.ledger.specs[&key.0].clone();
+        let place = self.workers[vm].place.clone();
+        let elsewhere = self
+            .workers
+            .iter()
+            .find(|(id, w)| *id != vm && w.tasks.get(key).is_some_and(|t| t.on_machine()))
+            .map(|(id, _)| id.clone());
+        if let Some(other) = elsewhere {
+            self.ledger.break_rule(Rule::RanTwice, now, format!("{key:?} on {vm} and {other}"));
+        }
+        let mut wrong = spec.types.as_ref().is_some_and(|t| !t.contains(&place.machine_type))
+            || spec.zone.as_ref().is_some_and(|z| *z != place.zone)
+            || (place.spot && !spec.spot);
+        let zones: Vec<String> = self
+            .workers
+            .values()
+            .flat_map(|w| {
+                let here = w.tasks.iter().filter(|(k, t)| k.0 == key.0 && t.on_machine());
+                here.map(|_| w.place.zone.clone())
+            })
+            .collect();
+        if spec.one_zone && zones.iter().any(|z| *z != place.zone) {
+            wrong = true;
+        }
+        if spec.spread {
+            let here = zones.iter().filter(|z| **z == place.zone).count() as u32;
+            wrong |= here > spec.tasks.div_ceil(2);
+        }
+        if wrong {
+            self.ledger.break_rule(Rule::WrongPlace, now, format!("{key:?} on {vm} in {}", place.zone));
+        }
+    }
+
+    /// Rules on everything that is on a machine right now.
+    fn check(&mut self) {
+        let now = self.now;
+        let cancel_s = self.settings.params.workers.cancel_s;
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let mut cancelled = Vec::new();
+        for w in self.workers.values() {
+            for (key, _) in w.tasks.iter().filter(|(_, t)| t.on_machine()) {
+                let spec = &self.ledger.specs[&key.0];
+                *used.entry(spec.team.clone()).or_insert(0.0) += spec.accelerators;
+                if self.ledger.cancelled_at.get(&key.0).is_some_and(|t| now - t > cancel_s) {
+                    cancelled.push(format!("{key:?} on {}", w.place.id));
+                }
+            }
+        }
+        for c in cancelled {
+            self.ledger.break_rule(Rule::RanCancelled, now, c);
+        }
+        for t in &self.settings.params.teams {
+            let have = used.get(&t.name).copied().unwrap_or(0.0);
+            if t.accelerators_max > 0.0 && have > t.accelerators_max + 1e-6 {
+                self.ledger.break_rule(Rule::Quota, now, format!("{} uses {have}", t.name));
+            }
+        }
+    }
+
+    fn user_acts(&mut self, id: &str) {
+        let now = self.now;
+        let accepted = self.ledger.accepted.contains(id);
+        let Some(u) = self.users.get_mut(id) else { return };
+        if u.waiting || u.over {
+            return;
+        }
+        u.waiting = true;
+        u.asked += 1;
+        let asked = u.asked;
+        let spec = &self.ledger.specs[id];
+        let r = if !accepted {
+            self.ledger.submitted.insert(id.to_string());
+            Request::Submit(wire::encode(spec))
+        } else if u.cancel_at.is_some_and(|c| now >= c) {
+            self.ledger.cancel_asked.insert(id.to_string());
+            Request::Cancel(id.to_string())
+        } else if self.rng.gen_bool(0.1) {
+            // A repeated submission, which may come at any time.
+            Request::Submit(wire::encode(spec))
+        } else {
+            Request::Poll(id.to_string())
+        };
+        let n = self.rng.gen_range(0..3);
+        let d = self.delay();
+        self.push(now + d, Ev::UserArrives(id.to_string(), asked, n, r));
+        self.push(now + 4.0, Ev::UserGivesUp(id.to_string(), asked));
+    }
+
+    fn user_answer(&mut self, id: &str, asked: u64, a: &Answer) {
+        let now = self.now;
+        let Some(u) = self.users.get_mut(id).filter(|u| u.waiting && u.asked == asked) else { return };
+        u.waiting = false;
+        let mut pause = self.rng.gen_range(1.5..3.0);
+        match a.status {
+            200 | 201 => {
+                if let Ok(v) = wire::decode::<JobView>(&a.body) {
+                    // Ask on for a while after the end: it must stay so.
+                    if v.status.is_final() {
+                        pause = 10.0;
+                    }
+                    self.ledger.tell(now, id, Some(v.status));
+                }
+            }
+            404 => self.ledger.tell(now, id, None),
+            400 | 422 if self.ledger.accepted.contains(id) => {
+                self.ledger.break_rule(Rule::Forgotten, now, format!("{id} got {}", a.status));
+            }
+            400 | 422 => {
+                if let Some(u) = self.users.get_mut(id) {
+                    u.over = true;
+                }
+            }
+            _ => pause = 1.0,
+        }
+        self.push(now + pause, Ev::User(id.to_string()));
+    }
+
+    fn fault(&mut self, i: usize) {
+        let now = self.now;
+        let nth = |sim: &Sim, n: usize| {
+            let count = sim.workers.len().max(1);
+            sim.workers.keys().nth(n % count).cloned()
+        };
+        match self.faults[i].clone() {
+            Fault::Crash { node, for_s } => {
+                self.nodes[node].core = None;
+                self.nodes[node].asked.clear();
+                self.faults.push(Fault::Crash { node, for_s: -1.0 });
+                if for_s < 0.0 {
+                    self.start(node);
+                } else {
+                    let again = self.faults.len() - 1;
+                    self.push(now + for_s, Ev::Fault(again));
+                }
+            }
+            Fault::StateOutage { for_s } => {
+                if for_s < 0.0 {
+                    self.store.refresh(now);
+                } else {
+                    self.state_down = now + for_s;
+                    self.faults.push(Fault::StateOutage { for_s: -1.0 });
+                    let again = self.faults.len() - 1;
+                    // The leases have their full time again from here on.
+                    self.push(now + for_s - 1e-6, Ev::Fault(again));
+                }
+            }
+            Fault::StateRefuses { node, for_s } => self.nodes[node].refused = now + for_s,
+            Fault::Cut { node, state, workers, for_s } => {
+                if state {
+                    self.nodes[node].cut_state = now + for_s;
+                }
+                if workers {
+                    self.nodes[node].cut_workers = now + for_s;
+                }
+            }
+            Fault::CloudOutage { for_s } => self.cloud_down = now + for_s,
+            Fault::Hang { nth: n, for_s } => {
+                if let Some(w) = nth(self, n).and_then(|id| self.workers.get_mut(&id)) {
+                    w.hung_until = now + for_s;
+                }
+            }
+            Fault::Take { nth: n } => {
+                if let Some(id) = nth(self, n) {
+                    self.cloud.remove(&id);
+                    self.drop_deleted();
+                }
+            }
+            Fault::Sick { nth: n } => {
+                if let Some(w) = nth(self, n).and_then(|id| self.workers.get_mut(&id)) {
+                    w.faulty = true;
+                }
+            }
+        }
+    }
+
+    /// Accepted jobs that should be over by now and are not.
+    pub fn unfinished(&self) -> Vec<String> {
+        self.ledger
+            .accepted
+            .iter()
+            .filter(|id| self.ledger.specs[*id].shape != Shape::Service)
+            .filter(|id| !self.ledger.told.get(*id).is_some_and(|s| s.is_final()))
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/state.rs
@@ -0,0 +1,145 @@
+//! The state service.
+
+use engine::record::Value;
+use engine::{StateOp, StateReply};
+use std::collections::BTreeMap;
+use wire::state::*;
+
+#[derive(Default)]
+pub struct Store {
+    pub revision: u64,
+    items: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (f64, f64)>,
+    next_lease: u64,
+    log: Vec<(u64, Event<Value>, String)>,
+}
+
+impl Store {
+    /// Ends leases whose time is over. True if a key went with one.
+    pub fn expire(&mut self, now: f64) -> bool {
+        let over: Vec<u64> = self.leases.iter().filter(|(_, l)| l.0 <= now).map(|(&id, _)| id).collect();
+        let before = self.revision;
+        for id in over {
+            self.end_lease(id);
+        }
+        self.revision != before
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn refresh(&mut self, now: f64) {
+        for l in self.leases.values_mut() {
+            l.0 = now + l.1;
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, i)| i.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.items.remove(&key);
+            let event = Event::Delete { key: key.clone(), version: self.revision };
+            self.log.push((self.revision, event, key));
+        }
+    }
+
+    /// Executes a request; None for a watch that has to wait.
+    pub fn execute(&mut self, now: f64, op: &StateOp) -> Option<StateReply> {
+        Some(match op {
+            StateOp::Get(key) => match self.items.get(key) {
+                Some((value, version, _)) => {
+                    StateReply::Item(Item { key: key.clone(), value: value.clone(), version: *version })
+                }
+                None => StateReply::Missing(self.revision),
+            },
+            StateOp::List { prefix, after } => {
+                let items: Vec<Item<Value>> = self
+                    .items
+                    .range(prefix.clone()..)
+                    .take_while(|(k, _)| k.starts_with(prefix.as_str()))
+                    .filter(|(k, _)| after.as_ref().is_none_or(|a| *k > a))
+                    .map(|(k, i)| Item { key: k.clone(), value: i.0.clone(), version: i.1 })
+                    .collect();
+                // Small pages, so that paging is exercised.
+                let more = items.len() > 7;
+                StateReply::Page(Page {
+                    items: items.into_iter().take(7).collect(),
+                    more,
+                    revision: self.revision,
+                })
+            }
+            StateOp::Grant { ttl_ms } => {
+                self.next_lease += 1;
+                let ttl = *ttl_ms as f64 / 1000.0;
+                self.leases.insert(self.next_lease, (now + ttl, ttl));
+                StateReply::Granted(self.next_lease)
+            }
+            StateOp::Renew(id) => match self.leases.get_mut(id) {
+                Some(l) => {
+                    l.0 = now + l.1;
+                    StateReply::Done
+                }
+                None => StateReply::Gone,
+            },
+            StateOp::Revoke(id) => {
+                self.end_lease(*id);
+                StateReply::Done
+            }
+            StateOp::Commit(txn) => self.commit(txn),
+            StateOp::Watch { prefix, after, .. } => {
+                let events: Vec<Event<Value>> = self
+                    .log
+                    .iter()
+                    .filter(|(r, _, k)| r > after && k.starts_with(prefix.as_str()))
+                    .map(|(_, e, _)| e.clone())
+                    .collect();
+                if events.is_empty() {
+                    return None;
+                }
+                StateReply::Events(Events { revision: self.revision, events })
+            }
+        })
+    }
+
+    pub fn quiet(&self) -> StateReply {
+        StateReply::Events(Events { revision: self.revision, events: Vec::new() })
+    }
+
+    fn commit(&mut self, txn: &Txn<Value>) -> StateReply {
+        for c in &txn.changes {
+            if let Change::Put { lease: Some(id), .. } = c {
+                if !self.leases.contains_key(id) {
+                    return StateReply::Gone;
+                }
+            }
+        }
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| self.items.get(&c.key).map_or(0, |i| i.1) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StateReply::Conflict(Conflict { failed, revision: self.revision });
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        for c in &txn.changes {
+            let (key, event) = match c {
+                Change::Put { key, value, lease } => {
+                    self.items.insert(key.clone(), (value.clone(), revision, *lease));
+                    (key, Event::Put { key: key.clone(), value: value.clone(), version: revision })
+                }
+                Change::Delete { key } => {
+                    self.items.remove(key);
+                    (key, Event::Delete { key: key.clone(), version: revision })
+                }
+            };
+            self.log.push((revision, event, key.clone()));
+        }
+        StateReply::Committed(revision)
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/simulation.rs
@@ -0,0 +1,209 @@
+//! Three cores against the stand-ins, under seeded troubles.
+
+use anisecroft_testkit::{Fault, Rule, Setup, Sim};
+use engine::Guards;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use settings::Settings;
+use wire::cloud::MachineType;
+use wire::job::*;
+
+fn settings() -> Settings {
+    let mut s = Settings::parse(include_str!("../../../docs/example.toml")).unwrap();
+    // A tight limit, so that quota and placement are under pressure.
+    for t in &mut s.params.teams {
+        t.accelerators = 4.0;
+        t.accelerators_max = 8.0;
+    }
+    s
+}
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "big".into(),
+        cores: 16.0,
+        accelerators: 4.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 4.0,
+        spot_price: 1.5,
+        boot_s: 10.0,
+        zones: vec!["a".into(), "b".into()],
+    }]
+}
+
+fn job(rng: &mut SmallRng, n: usize) -> JobSpec {
+    let shape = [Shape::Array, Shape::Array, Shape::Gang, Shape::Service][rng.gen_range(0..4usize)];
+    let tasks = if shape == Shape::Array { rng.gen_range(1..6) } else { rng.gen_range(1..4) };
+    JobSpec {
+        id: format!("req-{:06}", n * 37 % 1000),
+        class: "work".into(),
+        team: ["dispatch", "clinics"][rng.gen_range(0..2usize)].into(),
+        shape,
+        priority: [Priority::Low, Priority::Normal, Priority::High][rng.gen_range(0..3usize)],
+        tasks,
+        cores: 4.0,
+        accelerators: 1.0,
+        memory_gb: 8.0,
+        image: format!("img-{}", rng.gen_range(0..3)),
+        image_gb: 2.0,
+        types: None,
+        zone: rng.gen_bool(0.2).then(|| "a".into()),
+        one_zone: rng.gen_bool(0.3),
+        spread: rng.gen_bool(0.2),
+        spot: rng.gen_bool(0.5),
+        estimate_s: if shape == Shape::Service { 0.0 } else { rng.gen_range(5.0..30.0) },
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
+fn setup(seed: u64, faults: Vec<(f64, Fault)>) -> Setup {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let jobs = (0..40)
+        .map(|n| {
+            let at = rng.gen_range(2.0..150.0);
+            let spec = job(&mut rng, n);
+            let cancel = if spec.shape == Shape::Service || rng.gen_bool(0.25) {
+                Some(at + rng.gen_range(1.0..60.0))
+            } else {
+                None
+            };
+            // Together and spread contradict each other beyond one task.
+            let spec = if spec.one_zone { JobSpec { spread: false, ..spec } } else { spec };
+            let spec = if spec.zone.is_some() { JobSpec { spread: false, ..spec } } else { spec };
+            (at, spec, cancel)
+        })
+        .collect();
+    Setup {
+        settings: settings(),
+        types: types(),
+        capacity: 6,
+        jobs,
+        faults,
+        seed,
+        loss: 0.002,
+        guards: Guards::default(),
+    }
+}
+
+fn troubles(seed: u64) -> Vec<(f64, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xfa17);
+    (0..8)
+        .map(|_| {
+            let at = rng.gen_range(5.0..160.0);
+            let node = rng.gen_range(0..3);
+            let for_s: f64 = rng.gen_range(2.0..35.0);
+            let nth = rng.gen_range(0..6);
+            let fault = match rng.gen_range(0..8) {
+                0 => Fault::Crash { node, for_s: 8.0 },
+                1 => Fault::StateOutage { for_s: for_s.min(25.0) },
+                2 => Fault::StateRefuses { node, for_s },
+                3 => Fault::Cut { node, state: rng.gen(), workers: rng.gen(), for_s },
+                4 => Fault::CloudOutage { for_s },
+                5 => Fault::Hang { nth, for_s },
+                6 => Fault::Take { nth },
+                _ => Fault::Sick { nth },
+            };
+            (at, fault)
+        })
+        .collect()
+}
+
+#[test]
+fn a_quiet_day_runs_every_job() {
+    let mut sim = Sim::new(setup(1, vec![]));
+    assert_eq!(sim.run(400.0), []);
+    assert_eq!(sim.unfinished(), Vec::<String>::new());
+    assert_eq!(sim.ledger.accepted.len(), 40);
+    assert!(sim.starts > 60, "{}", sim.starts);
+}
+
+#[test]
+fn seeded_troubles_break_no_rule_and_lose_no_job() {
+    for seed in 0..24 {
+        let faults = troubles(seed);
+        let mut sim = Sim::new(setup(seed, faults.clone()));
+        assert_eq!(sim.run(700.0), [], "seed {seed}: {faults:?}");
+        assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}: {faults:?}");
+    }
+}
+
+#[test]
+fn a_crashed_leader_is_replaced_within_half_a_worker_lease() {
+    // Whoever leads, one of the three crashes ends its leadership.
+    let faults = (0..3).map(|n| (30.0 + 40.0 * n as f64, Fault::Crash { node: n, for_s: 8.0 })).collect();
+    let mut sim = Sim::new(setup(3, faults));
+    assert_eq!(sim.run(200.0), []);
+    assert!(
+        sim.leaderless_s > 0.5 && sim.leaderless_s < settings().params.workers.lease_s / 2.0,
+        "{}",
+        sim.leaderless_s
+    );
+}
+
+/// Runs many seeds with a guard off until the rule breaks.
+fn caught(rules: &[Rule], guards: Guards, faults: impl Fn(u64) -> Vec<(f64, Fault)>) -> bool {
+    (0..60).any(|seed| {
+        let mut s = setup(seed, faults(seed));
+        s.guards = guards;
+        let broken = Sim::new(s).run(300.0).to_vec();
+        broken.iter().any(|b| rules.contains(&b.rule))
+    })
+}
+
+#[test]
+fn without_the_quota_guard_a_limit_breaks() {
+    let guards = Guards { quota: false, ..Guards::default() };
+    assert!(caught(&[Rule::Quota], guards, |_| vec![]));
+}
+
+#[test]
+fn without_the_lease_wait_a_task_runs_twice() {
+    let guards = Guards { lease_wait: false, ..Guards::default() };
+    assert!(caught(&[Rule::RanTwice, Rule::Quota, Rule::WrongPlace], guards, |seed| {
+        (0..6)
+            .map(|i| (20.0 + 15.0 * i as f64, Fault::Hang { nth: (seed as usize) + i, for_s: 14.0 }))
+            .collect()
+    }));
+}
+
+#[test]
+fn without_write_ahead_a_takeover_breaks_a_rule() {
+    let guards = Guards { write_ahead: false, versions: false, ..Guards::default() };
+    assert!(caught(
+        &[Rule::RanTwice, Rule::Quota, Rule::WrongPlace, Rule::WentBack, Rule::RanCancelled],
+        guards,
+        troubles
+    ));
+}
+
+#[test]
+fn without_versions_a_final_state_goes_back() {
+    let guards = Guards { versions: false, ..Guards::default() };
+    assert!(caught(&[Rule::WentBack, Rule::RanTwice, Rule::RanCancelled, Rule::NotDone], guards, |seed| {
+        (0..3)
+            .map(|n| {
+                (
+                    30.0 + 30.0 * n as f64,
+                    Fault::Cut { node: (seed as usize + n) % 3, state: true, workers: false, for_s: 12.0 },
+                )
+            })
+            .collect()
+    }));
+}
+
+#[test]
+fn without_the_grace_a_cancelled_task_stays() {
+    let guards = Guards { grace: false, ..Guards::default() };
+    assert!(caught(&[Rule::RanCancelled, Rule::RanTwice, Rule::Quota, Rule::WrongPlace], guards, |_| {
+        (0..3)
+            .map(|n| (40.0, Fault::StateRefuses { node: n, for_s: 0.0 }))
+            .chain([
+                (50.0, Fault::Cut { node: 0, state: true, workers: false, for_s: 100.0 }),
+                (50.0, Fault::Cut { node: 1, state: true, workers: false, for_s: 100.0 }),
+            ])
+            .collect()
+    }));
+}
