Controllers exchange views by gRPC; operators' settings; an unheard leader resigns

tonic's generated code runs over hyper's HTTP/2 on this thread's sockets. Operators' settings are protobuf text.

--- a/crates/anisecroft/src/main.rs
+++ b/crates/anisecroft/src/main.rs
@@ -1,7 +1,7 @@
 //! The daemon: reads settings, sets up logs, serves.
 
 use clap::{Parser, Subcommand};
-use settings::{Derived, Settings};
+use settings::{Derived, Operator, Settings};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -19,12 +19,18 @@
         /// Settings file of the platform (TOML)
         #[arg(long)]
         config: PathBuf,
+        /// Operators' own settings (protobuf text format)
+        #[arg(long)]
+        operator: Option<PathBuf>,
     },
     /// Check settings and print what is derived from them
     Check {
         /// Settings file of the platform (TOML)
         #[arg(long)]
         config: PathBuf,
+        /// Operators' own settings (protobuf text format)
+        #[arg(long)]
+        operator: Option<PathBuf>,
     },
 }
 
@@ -43,29 +49,31 @@
         .init();
 }
 
-fn load(path: &Path) -> Option<Settings> {
-    match Settings::load(path) {
-        Ok(s) => Some(s),
-        Err(e) => {
-            eprintln!("anisecroft: {}: {e}", path.display());
-            None
-        }
-    }
+fn load(config: &Path, operator: Option<&Path>) -> Option<(Settings, Operator)> {
+    let told = |path: &Path, e: settings::SettingsError| {
+        eprintln!("anisecroft: {}: {e}", path.display());
+    };
+    let s = Settings::load(config).map_err(|e| told(config, e)).ok()?;
+    let own = match operator {
+        Some(path) => Operator::load(path).map_err(|e| told(path, e)).ok()?,
+        None => Operator::default(),
+    };
+    Some((s, own))
 }
 
 fn main() -> ExitCode {
     match Args::parse().command {
-        Command::Check { config } => match load(&config) {
-            Some(s) => {
-                println!("{s:#?}\n{:#?}", Derived::from(&s));
+        Command::Check { config, operator } => match load(&config, operator.as_deref()) {
+            Some((s, own)) => {
+                println!("{s:#?}\n{own:#?}\n{:#?}", Derived::from(&s));
                 ExitCode::SUCCESS
             }
             None => ExitCode::FAILURE,
         },
-        Command::Serve { config } => {
+        Command::Serve { config, operator } => {
             logs();
-            let Some(s) = load(&config) else { return ExitCode::FAILURE };
-            match net::run(s) {
+            let Some((s, own)) = load(&config, operator.as_deref()) else { return ExitCode::FAILURE };
+            match net::run(s, own) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(e) => {
                     eprintln!("anisecroft: cannot serve: {e}");
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -58,10 +58,6 @@
     }
 }
 
-/// A boot that takes this many times the usual is taken for stuck.
-const BOOT_STUCK: f64 = 3.0;
-/// An idle machine beyond the target is kept for this part of its boot time.
-const IDLE_HOLD: f64 = 0.25;
 /// The cloud charges every machine for that long at least.
 const LEAST_CHARGE_S: f64 = 60.0;
 
@@ -235,6 +231,7 @@
         let now = self.now;
         let types = self.types.clone().unwrap_or_default();
         let entitled = self.entitled();
+        let own = self.operator.clone();
         let Role::Leader(l) = &mut self.role else { return };
         if !entitled {
             return;
@@ -254,7 +251,7 @@
                 m.idle_since = now;
             }
             match m.life {
-                Life::Booting if now - m.since > boot * BOOT_STUCK => {
+                Life::Booting if now - m.since > boot * own.boot_stuck => {
                     info!(machine = %m.id, "boot is stuck, giving it back");
                     m.life = Life::Leaving;
                 }
@@ -263,7 +260,7 @@
                     if m.heard.is_some()
                         && m.tasks.is_empty()
                         && m.notice_until.is_none()
-                        && now - m.idle_since > boot * IDLE_HOLD
+                        && now - m.idle_since > boot * own.idle_hold
                         && now - m.since > LEAST_CHARGE_S =>
                 {
                     idle.push((m.idle_since, m.id.clone()));
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -92,6 +92,8 @@
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
     Worker(CallId, WorkerReply),
+    /// What another controller sees.
+    Peer(wire::peer::View),
 }
 
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -294,6 +294,7 @@
                 self.saw_record(&job_key(&id), Value::Job(Box::new(record)), version);
             }
             self.machines_on_time();
+            self.resign_if_unheard();
             self.plan_on_time();
             self.fleet_on_time();
             self.commit_on_time();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,7 @@
 pub use io::*;
 use leader::{Lead, Role};
 use rand::{rngs::SmallRng, SeedableRng};
-use settings::{Derived, Settings};
+use settings::{Derived, Operator, Settings};
 use std::collections::{BTreeMap, VecDeque};
 use wire::cloud::MachineType;
 use wire::job::JobStatus;
@@ -158,11 +158,17 @@
     pub(crate) writes: Budget,
     /// Renewals and transactions confirmed by the service, for the logs.
     pub(crate) state_ok_at: Time,
+    /// When each worker last reported here, whatever it was answered.
+    pub(crate) workers_heard: BTreeMap<String, Time>,
+    /// The other controllers' views, with when they came.
+    pub(crate) peers: BTreeMap<String, (wire::peer::View, Time)>,
+    pub(crate) operator: Operator,
 }
 
 impl Core {
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        let d = Derived::from(&settings);
+    pub fn new(settings: Settings, operator: Operator, seed: u64) -> Self {
+        let mut d = Derived::from(&settings);
+        d.tick_s = operator.tick_s.unwrap_or(d.tick_s);
         let nodes = f64::from(settings.params.nodes.max(1));
         Core {
             guards: Guards::default(),
@@ -186,6 +192,9 @@
             reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
             writes: Budget::new(settings.params.state.write_rps * 0.5 / nodes),
             state_ok_at: 0.0,
+            workers_heard: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            operator,
             settings,
             d,
         }
@@ -211,6 +220,11 @@
                     self.on_cloud(p, reply);
                 }
             }
+            Input::Peer(view) => {
+                if self.settings.peers.iter().any(|p| p.node == view.node) {
+                    self.peers.insert(view.node.clone(), (view, self.now));
+                }
+            }
             Input::Worker(call, reply) => {
                 if let Some(Purpose::Direct { token }) = self.calls.remove(&call) {
                     self.on_direct(token, reply);
@@ -221,6 +235,17 @@
         std::mem::take(&mut self.out)
     }
 
+    /// What this node tells the others.
+    pub fn view_for_peers(&self) -> wire::peer::View {
+        let since = self.now - self.d.heard_s;
+        wire::peer::View {
+            node: self.settings.node.clone(),
+            token: if let Role::Leader(l) = &self.role { l.token } else { 0 },
+            state_reached: self.now - self.state_ok_at < self.d.leader_ttl_s,
+            workers_heard: self.workers_heard.values().filter(|&&t| t > since).count() as u32,
+        }
+    }
+
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
         match &self.role {
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -323,7 +323,7 @@
             jobs,
             teams,
             bound_s: self.settings.params.workers.lease_s * 10.0,
-            patience_s: self.settings.params.workers.report_s,
+            patience_s: if self.operator.preempt { self.settings.params.workers.report_s } else { f64::MAX },
         };
         let made = plan::plan(&problem);
         self.carry_out(&problem, &made, &names, &ids);
@@ -372,6 +372,7 @@
     /// and a reserve for what usually comes.
     fn set_targets(&mut self, p: &Problem, made: &plan::Plan, types: &[wire::cloud::MachineType]) {
         let now = self.now;
+        let reserve_share = self.operator.reserve;
         let Role::Leader(l) = &mut self.role else { return };
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         for u in &made.unmet {
@@ -423,7 +424,8 @@
         let mut reserve: BTreeMap<Pool, f64> = BTreeMap::new();
         for class in l.classes.values() {
             if let Some((pool, machines, boot)) = &class.pool {
-                *reserve.entry(pool.clone()).or_insert(0.0) += class.rate(now) * machines * boot;
+                *reserve.entry(pool.clone()).or_insert(0.0) +=
+                    class.rate(now) * machines * boot * reserve_share;
             }
         }
         let mut wanted: BTreeMap<Pool, u32> = BTreeMap::new();
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -3,7 +3,7 @@
 use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
-use crate::{Core, RequestId, Time, WorkerReply};
+use crate::{Core, Purpose, RequestId, StateOp, Time, WorkerReply};
 use tracing::{info, warn};
 use wire::job::Shape;
 use wire::worker::*;
@@ -15,6 +15,9 @@
     pub until: Time,
 }
 
+/// Most workers whose reports are counted.
+const MOST_WORKERS: usize = 10_000;
+
 /// A job whose tasks failed on that many machines is at fault itself.
 const JOB_AT_FAULT: usize = 2;
 
@@ -25,6 +28,9 @@
             Err(e) => return self.refuse(req, 400, &e.to_string()),
         };
         let now = self.now;
+        if self.workers_heard.len() < MOST_WORKERS || self.workers_heard.contains_key(&report.machine) {
+            self.workers_heard.insert(report.machine.clone(), now);
+        }
         let grace = self.d.grace_s;
         let hold = self.d.worker_timeout_s / 10.0;
         let Role::Leader(l) = &mut self.role else {
@@ -388,6 +394,38 @@
         }
     }
 
+    /// Whether the workers would be served better by another leader: nobody
+    /// has reported here for long, or a peer hears more than twice as many.
+    pub(crate) fn resign_if_unheard(&mut self) {
+        let now = self.now;
+        let heard_s = self.d.heard_s;
+        let Role::Leader(l) = &self.role else { return };
+        let known = l.machines.values().filter(|m| m.life == Life::Up).count();
+        let settled = now - l.since > heard_s + self.d.worker_timeout_s;
+        if known == 0 || !settled || now > l.confirmed + self.d.leader_ttl_s {
+            return;
+        }
+        let here = self.workers_heard.values().filter(|&&t| now - t < heard_s).count();
+        let there = self
+            .peers
+            .values()
+            .filter(|(v, at)| now - at < heard_s && v.state_reached)
+            .map(|(v, _)| v.workers_heard as usize)
+            .max()
+            .unwrap_or(0);
+        // With nobody heard anywhere it may be the machines, but then nothing
+        // is lost by another leader either.
+        let better = there > here * 2 + 1;
+        if !(better || here == 0) {
+            return;
+        }
+        let lease = l.lease;
+        self.state(Purpose::Revoke, StateOp::Revoke(lease));
+        self.step_down("workers do not reach this node");
+        // The others get the first chance.
+        self.claim_at = now + 3.0 * self.d.leader_ttl_s;
+    }
+
     /// Releases what certainly ended with its machine's lease, and looks
     /// after silent machines.
     pub(crate) fn machines_on_time(&mut self) {
@@ -404,8 +442,15 @@
             .map(|m| m.id.clone())
             .collect();
         // When many fall silent at once it is rather the network: their
-        // tasks go on, and only their leases' end is waited for.
-        let many = silent.len() > 2 && silent.len() * 3 > up;
+        // tasks go on, and only their leases' end is waited for. Judged on all
+        // that missed a report, not on those silent for long: these come one
+        // by one, and a cut leader once gave up its whole fleet that way.
+        let fresh = l
+            .machines
+            .values()
+            .filter(|m| m.heard.is_some_and(|h| now - h < silent_s / 2.0) && m.life == Life::Up)
+            .count();
+        let many = up > 2 && fresh * 3 < up * 2;
         let mut leave = Vec::new();
         for id in &silent {
             let Some(m) = l.machines.get_mut(id) else { continue };
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runs a core on sockets and clocks, all on one thread.
 
 mod client;
+mod peers;
 mod server;
 mod services;
 
@@ -8,15 +9,17 @@
 use async_io::{Async, Timer};
 use client::Client;
 use engine::{Answer, Core, Input, Output, Request, RequestId};
-use settings::{Derived, Settings};
+use settings::{Derived, Operator, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub struct Driver {
     executor: Rc<LocalExecutor<'static>>,
+    shelf: Arc<peers::Shelf>,
     core: RefCell<Core>,
     client: Client,
     settings: Settings,
@@ -95,8 +98,9 @@
 }
 
 /// Serves until the process is ended. Fails only if an address cannot be bound.
-pub fn run(settings: Settings) -> std::io::Result<()> {
+pub fn run(settings: Settings, operator: Operator) -> std::io::Result<()> {
     let listener = Async::<TcpListener>::bind(settings.listen)?;
+    let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
     let seed = settings
         .node
         .bytes()
@@ -106,7 +110,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let driver = Rc::new(Driver {
         executor: executor.clone(),
-        core: RefCell::new(Core::new(settings.clone(), seed)),
+        shelf: Arc::default(),
+        core: RefCell::new(Core::new(settings.clone(), operator, seed)),
         client: Client::default(),
         derived: Derived::from(&settings),
         settings,
@@ -115,6 +120,11 @@
         waiting: RefCell::new(HashMap::new()),
     });
     driver.spawn(driver.clone().tick());
+    driver.spawn(peers::serve(driver.clone(), peer_listener));
+    let every = Duration::from_secs_f64(driver.derived.renew_s);
+    for p in driver.settings.peers.clone() {
+        driver.spawn(peers::exchange(driver.clone(), p.addr, every));
+    }
     driver.feed(Input::Tick);
     async_io::block_on(executor.run(server::serve(driver, listener, most)));
     Ok(())
--- /dev/null
+++ b/crates/net/src/peers.rs
@@ -0,0 +1,183 @@
+//! Views exchanged with the other controllers: gRPC by `tonic`, carried by
+//! hyper's HTTP/2 over this thread's sockets instead of tonic's own transport.
+
+use crate::Driver;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use engine::Input;
+use futures_lite::future;
+use hyper::client::conn::http2::SendRequest;
+use smol_hyper::rt::FuturesIo;
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tonic::body::BoxBody;
+use tracing::{debug, warn};
+use wire::peer::peers_client::PeersClient;
+use wire::peer::peers_server::{Peers, PeersServer};
+use wire::peer::View;
+
+/// Most connections of other controllers at a time.
+const MOST_PEERS: usize = 16;
+
+#[derive(Clone)]
+struct Local(Rc<LocalExecutor<'static>>);
+
+impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
+    fn execute(&self, f: F) {
+        self.0
+            .spawn(async move {
+                f.await;
+            })
+            .detach();
+    }
+}
+
+/// The server's side. tonic wants it to be `Send`; the core is not, so the
+/// views pass through a shelf that the driver fills and empties.
+#[derive(Default)]
+pub struct Shelf {
+    own: Mutex<View>,
+    heard: Mutex<Vec<View>>,
+}
+
+#[derive(Clone)]
+struct Service(Arc<Shelf>);
+
+#[tonic::async_trait]
+impl Peers for Service {
+    async fn exchange(&self, r: tonic::Request<View>) -> Result<tonic::Response<View>, tonic::Status> {
+        let lost = |_| tonic::Status::internal("view lost");
+        let mut heard = self.0.heard.lock().map_err(|_| lost(()))?;
+        if heard.len() < MOST_PEERS {
+            heard.push(r.into_inner());
+        }
+        let own = self.0.own.lock().map_err(|_| lost(()))?.clone();
+        Ok(tonic::Response::new(own))
+    }
+}
+
+pub async fn serve(driver: Rc<Driver>, listener: Async<TcpListener>) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((s, _)) if open.get() < MOST_PEERS => s,
+            Ok(_) => continue,
+            Err(e) => {
+                warn!(error = %e, "cannot accept a peer");
+                Timer::after(Duration::from_millis(200)).await;
+                continue;
+            }
+        };
+        open.set(open.get() + 1);
+        let (this, open) = (driver.clone(), open.clone());
+        driver.spawn(async move {
+            let service = Hyper(PeersServer::new(Service(this.shelf.clone())));
+            let served = hyper::server::conn::http2::Builder::new(Local(this.executor.clone()))
+                .max_concurrent_streams(4)
+                .serve_connection(FuturesIo::new(stream), service)
+                .await;
+            if let Err(e) = served {
+                debug!(error = %e, "peer's connection ended");
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// tonic's generated service as one of hyper's.
+struct Hyper(PeersServer<Service>);
+
+impl hyper::service::Service<http::Request<hyper::body::Incoming>> for Hyper {
+    type Response = http::Response<BoxBody>;
+    type Error = std::convert::Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn call(&self, r: http::Request<hyper::body::Incoming>) -> Self::Future {
+        tower_service::Service::call(&mut self.0.clone(), r)
+    }
+}
+
+/// A connection's requests as tonic's client wants them.
+struct Channel {
+    send: SendRequest<BoxBody>,
+    authority: String,
+}
+
+impl tower_service::Service<http::Request<BoxBody>> for Channel {
+    type Response = http::Response<hyper::body::Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.send.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut r: http::Request<BoxBody>) -> Self::Future {
+        let path = r.uri().path_and_query().map_or("/", |p| p.as_str());
+        if let Ok(uri) = format!("http://{}{path}", self.authority).parse() {
+            *r.uri_mut() = uri;
+        }
+        Box::pin(self.send.send_request(r))
+    }
+}
+
+async fn connect(driver: &Driver, addr: SocketAddrV4) -> Option<PeersClient<Channel>> {
+    let stream = Async::<TcpStream>::connect(addr).await.ok()?;
+    let _ = stream.get_ref().set_nodelay(true);
+    let local = Local(driver.executor.clone());
+    let (send, connection) =
+        hyper::client::conn::http2::handshake(local, FuturesIo::new(stream)).await.ok()?;
+    driver.spawn(async move {
+        let _ = connection.await;
+    });
+    Some(PeersClient::new(Channel { send, authority: addr.to_string() }))
+}
+
+/// Exchanges views with one peer for as long as the process runs.
+pub async fn exchange(driver: Rc<Driver>, addr: SocketAddrV4, every: Duration) {
+    let mut client: Option<PeersClient<Channel>> = None;
+    loop {
+        Timer::after(every).await;
+        driver.take_views();
+        let own = driver.own_view();
+        let call = async {
+            if client.is_none() {
+                client = connect(&driver, addr).await;
+            }
+            client.as_mut()?.exchange(own).await.ok().map(tonic::Response::into_inner)
+        };
+        let view = future::or(call, async {
+            Timer::after(every).await;
+            None
+        })
+        .await;
+        match view {
+            Some(v) => driver.feed(Input::Peer(v)),
+            None => client = None,
+        }
+    }
+}
+
+impl Driver {
+    fn own_view(&self) -> View {
+        let view = self.core.borrow().view_for_peers();
+        if let Ok(mut own) = self.shelf.own.lock() {
+            own.clone_from(&view);
+        }
+        view
+    }
+
+    /// Hands the core what peers have left on the shelf.
+    fn take_views(self: &Rc<Self>) {
+        let heard = self.shelf.heard.lock().map(|mut h| std::mem::take(&mut *h)).unwrap_or_default();
+        for v in heard {
+            self.feed(Input::Peer(v));
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,8 @@
 //! The settings file that the platform hands over, checked field by field.
 
+mod operator;
+
+pub use operator::Operator;
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 
@@ -250,6 +253,9 @@
     pub lease_over_s: f64,
     /// Silence after which a machine is looked at: three reports missed.
     pub silent_s: f64,
+    /// A worker heard within this time can reach the node: two reports at
+    /// their longest spacing, and half of one for the way.
+    pub heard_s: f64,
     /// Planner's own tick (the design's starting value).
     pub tick_s: f64,
     /// Timeout of a call to the state service.
@@ -269,6 +275,7 @@
             worker_timeout_s: 4.0,
             lease_over_s: w.lease_s * drift + 0.5,
             silent_s: w.report_s * 3.5,
+            heard_s: w.report_s * 3.0,
             tick_s: w.report_s / 3.0,
             state_timeout_s: 1.5,
             cloud_timeout_s: 5.0,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -42,3 +42,21 @@
     assert!(d.leader_ttl_s < w.lease_s / 2.0);
     assert!(d.grace_s > d.leader_ttl_s);
 }
+
+#[test]
+fn operators_settings_have_defaults_ranges_and_positions() {
+    use anisecroft_settings::Operator;
+    assert_eq!(Operator::parse("").unwrap(), Operator::default());
+    let own = Operator::parse("# comment\nreserve: 2\npreempt: false tick_s: 1.5").unwrap();
+    assert_eq!((own.reserve, own.preempt, own.tick_s), (2.0, false, Some(1.5)));
+    for (text, what) in [
+        ("reserve: 99", "line 1, column 1: reserve"),
+        ("preempt: true\nidle_hold: -1", "line 2, column 1: idle_hold"),
+        ("preempt: true\nreserves: 1", "line 2"),
+        ("reserve: \"much\"", "line 1"),
+        ("reserve: nan", "reserve"),
+    ] {
+        let e = Operator::parse(text).expect_err(text).to_string();
+        assert!(e.contains(what) && !e.contains('\n'), "{text}: {e}");
+    }
+}
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -7,7 +7,7 @@
 use crate::worker::{Launch, Phase, TaskKey, Worker};
 use engine::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
-use settings::Settings;
+use settings::{Operator, Settings};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use wire::cloud::MachineType;
@@ -231,7 +231,7 @@
     fn start(&mut self, n: usize) {
         let mut s = self.settings.clone();
         s.node = NODE_NAMES[n].to_string();
-        let mut core = Core::new(s, self.rng.gen());
+        let mut core = Core::new(s, Operator::default(), self.rng.gen());
         core.guards = self.guards;
         let node = &mut self.nodes[n];
         node.core = Some(core);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,3 +12,9 @@
 
 /// Largest request body a receiver has to take, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// The controllers' own protocol, generated from `proto/peer.proto`.
+#[allow(clippy::all)]
+pub mod peer {
+    tonic::include_proto!("anisecroft.peer.v1");
+}
