Serve a crowded band in the order its timely jobs were judged by

Cause: the kept jobs of an overloaded band still went by deferral cost, that is the largest first, and capacity was counted as if more urgent work held no machine.

--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -237,9 +237,14 @@
                     };
                     let victim = victim(job, p, now).map(|(lost_s, stop_s)| {
                         owners.push((id.clone(), *task));
-                        Victim { owner: owners.len() - 1, band: band(&job.spec), lost_s, stop_s }
+                        Victim { owner: owners.len() - 1, lost_s, stop_s }
+                    });
+                    machines[m].busy.push(Busy {
+                        end: end.max(now + 0.5),
+                        takes: need,
+                        band: band(&job.spec),
+                        victim,
                     });
-                    machines[m].busy.push(Busy { end: end.max(now + 0.5), takes: need, victim });
                     if !machines[m].images.contains(&job.spec.image) {
                         machines[m].images.push(job.spec.image.clone());
                     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -59,6 +59,7 @@
 pub struct Busy {
     pub end: f64,
     pub takes: Amounts,
+    pub band: u8,
     /// What stopping it would cost, if it may be stopped for more urgent work.
     pub victim: Option<Victim>,
 }
@@ -68,7 +69,6 @@
 pub struct Victim {
     /// The caller's own number of it.
     pub owner: usize,
-    pub band: u8,
     /// Run time that would be lost.
     pub lost_s: f64,
     /// Time until its place is free.
@@ -269,6 +269,10 @@
 /// so that a flood cannot eat the processor.
 const PAIRWISE: usize = 64;
 
+/// Part of its machines that a band really gets: some time goes into fetches,
+/// reports and stops.
+const ATTAINED: f64 = 0.9;
+
 /// How well a job can still do: 0 it meets its deadline, 1 its last chance,
 /// 2 neither. Judged with the queue ahead of it, not alone: when the work of a
 /// band exceeds what its machines can do in time, earliest-deadline order would
@@ -296,9 +300,15 @@
             .filter(|m| {
                 job.kinds.contains(&m.kind) && (!m.spot || job.spot) && job.zone.is_none_or(|z| z == m.zone)
             })
-            .map(|m| f64::from(p.types[m.kind].size.count(&job.needs)))
+            .map(|m| {
+                let mut size = p.types[m.kind].size;
+                for b in m.busy.iter().filter(|b| b.band > job.band) {
+                    size.take(&b.takes);
+                }
+                f64::from(size.count(&job.needs))
+            })
             .sum();
-        job.waiting.len() as f64 * job.run_s / slots.max(0.5)
+        job.waiting.len() as f64 * job.run_s / (slots * ATTAINED).max(0.5)
     };
     let mut bands: Vec<u8> = p.jobs.iter().map(|j| j.band).collect();
     bands.sort_unstable();
@@ -356,13 +366,21 @@
     let among: Vec<usize> = all.iter().copied().take(PAIRWISE).collect();
     let cost: Vec<f64> = (0..p.jobs.len()).map(|i| deferral(&p.types, &ends, &p.jobs, &among, i)).collect();
     let tier = tiers(p, &all);
+    // In a band that cannot do everything in time, those that can are served
+    // in the order that this was judged by.
+    let crowded = |band: u8| (0..p.jobs.len()).any(|i| p.jobs[i].band == band && tier[i] > 0);
+    let crowded: Vec<bool> = (0..=u8::MAX).map(crowded).collect();
     all.sort_by(|&a, &b| {
         let (x, y) = (&p.jobs[a], &p.jobs[b]);
         y.band
             .cmp(&x.band)
             .then(y.guaranteed.cmp(&x.guaranteed))
             .then(tier[a].cmp(&tier[b]))
-            .then(cost[b].partial_cmp(&cost[a]).unwrap_or(Ordering::Equal))
+            .then(if crowded[x.band as usize] {
+                x.deadline.total_cmp(&y.deadline)
+            } else {
+                cost[b].partial_cmp(&cost[a]).unwrap_or(Ordering::Equal)
+            })
             .then(x.deadline.total_cmp(&y.deadline))
             .then(a.cmp(&b))
     });
@@ -502,7 +520,7 @@
             self.slots[m].free.take(&job.needs);
             let busy = &mut self.slots[m].busy;
             let place = busy.partition_point(|b| b.end <= end);
-            busy.insert(place, Busy { end, takes: job.needs, victim: None });
+            busy.insert(place, Busy { end, takes: job.needs, band: job.band, victim: None });
             if !self.images[m].contains(&job.image) {
                 self.images[m].push(job.image.clone());
             }
@@ -650,7 +668,7 @@
                 .busy
                 .iter()
                 .enumerate()
-                .filter_map(|(at, b)| b.victim.filter(|v| v.band < job.band).map(|v| (at, v, b.takes)))
+                .filter_map(|(at, b)| b.victim.filter(|_| b.band < job.band).map(|v| (at, v, b.takes)))
                 .collect();
             victims.sort_by(|a, b| a.1.lost_s.total_cmp(&b.1.lost_s));
             let mut free = self.slots[m].free;
