Idle workers' reports wait for work; images outlive a leader; no healthy boot is given up

Now workers get their lease's time after a take-over, records name the machines that hold a job's image, the report of an idle machine is answered when there is a launch or after 0.7 report_s, and a pool whose work has to start at once keeps an idle machine for a boot time.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -225,6 +225,20 @@
         }
     }
 
+    /// Classes whose work has to start at once: those with an aim at start, or
+    /// all that run under a team's guarantee if that has one.
+    fn prompt_classes(&self) -> BTreeSet<String> {
+        let p = &self.settings.params;
+        let guaranteed = p.objectives.iter().any(|o| o.kind == "guarantee")
+            && p.teams.iter().any(|t| t.cores > 0.0 || t.accelerators > 0.0);
+        if guaranteed {
+            if let Role::Leader(l) = &self.role {
+                return l.classes.keys().cloned().collect();
+            }
+        }
+        p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| o.class.clone()).collect()
+    }
+
     /// Machines to be given back: faulty ones, boots that are stuck, idle
     /// ones beyond the target.
     fn mark_leaving(&mut self) {
@@ -232,7 +246,10 @@
         let types = self.types.clone().unwrap_or_default();
         let entitled = self.entitled();
         let own = self.operator.clone();
+        let lease_s = self.settings.params.workers.lease_s;
+        let prompt = self.prompt_classes();
         let Role::Leader(l) = &mut self.role else { return };
+        let since = l.since;
         if !entitled {
             return;
         }
@@ -245,13 +262,31 @@
             *count.entry((m.machine_type.clone(), m.spot)).or_insert(0) += 1;
         }
         let mut idle: Vec<(Time, String)> = Vec::new();
+        // Where work has to start within seconds, a machine is worth keeping
+        // until another could have booted in its place.
+        let waited_for: BTreeSet<Pool> = l
+            .classes
+            .iter()
+            .filter(|(name, _)| prompt.contains(name.as_str()))
+            .filter_map(|(_, c)| c.pool.as_ref().map(|p| p.0.clone()))
+            .collect();
+        let hold = |m: &Machine| {
+            let pool = (m.machine_type.clone(), m.spot);
+            if waited_for.contains(&pool) {
+                own.idle_hold.max(1.0)
+            } else {
+                own.idle_hold
+            }
+        };
         for m in l.machines.values_mut() {
             let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
             if used.contains_key(&m.id) {
                 m.idle_since = now;
             }
             match m.life {
-                Life::Booting if now - m.since > boot * own.boot_stuck => {
+                // After a take-over every worker has its lease's time to report: an
+                // idle machine that had been up for long was once taken for stuck.
+                Life::Booting if now - m.since > boot * own.boot_stuck && now - since > lease_s => {
                     info!(machine = %m.id, "boot is stuck, giving it back");
                     m.life = Life::Leaving;
                 }
@@ -260,7 +295,7 @@
                     if m.heard.is_some()
                         && m.tasks.is_empty()
                         && m.notice_until.is_none()
-                        && now - m.idle_since > boot * own.idle_hold
+                        && now - m.idle_since > boot * hold(m)
                         && now - m.since > LEAST_CHARGE_S =>
                 {
                     idle.push((m.idle_since, m.id.clone()));
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -1,7 +1,7 @@
 //! A job as the leader holds it, kept in step with its stored record.
 
 use crate::io::Time;
-use crate::record::{merge_bits, pack_bits, JobRecord, PageRecord, StoredPlacement};
+use crate::record::{merge_bits, pack_bits, JobRecord, PageRecord, StoredPlacement, MOST_RAN_ON};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::job::{JobSpec, JobStatus, Shape};
 use wire::worker::TaskState;
@@ -54,6 +54,7 @@
     /// Progress kept, in seconds of run time (planning only).
     pub progress_s: f64,
     pub first_start: Option<Time>,
+    pub ran_on: BTreeSet<String>,
 }
 
 impl Job {
@@ -80,6 +81,7 @@
             aborting: false,
             progress_s: 0.0,
             first_start: None,
+            ran_on: BTreeSet::new(),
         }
     }
 
@@ -88,6 +90,7 @@
         job.version = version;
         job.status = record.status;
         job.attempt = record.attempt;
+        job.ran_on = record.ran_on.iter().cloned().collect();
         job.load_page(0, &record.page, 0, submitted);
         job
     }
@@ -245,6 +248,7 @@
             attempt: self.attempt,
             per_page: self.per_page,
             page: self.page_record(0),
+            ran_on: self.ran_on.iter().take(MOST_RAN_ON).cloned().collect(),
         }
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -13,6 +13,9 @@
 use wire::job::JobSpec;
 use wire::state::{Change, Condition, Event, Item, Txn};
 
+/// Older jobs tell nothing of a machine's images any more.
+const REMEMBERED_S: f64 = 3600.0;
+
 /// A watch on a prefix, kept open.
 #[derive(Debug, Default, Clone)]
 pub struct Follow {
@@ -60,6 +63,9 @@
     pub fleet: Fleet,
     pub classes: BTreeMap<String, crate::planning::ClassStats>,
     pub booking: u64,
+    /// Images that machines got by earlier leaders' work: (machine, image,
+    /// size, when the job was submitted).
+    pub cached: Vec<(String, String, f64, Time)>,
     pub types_at: Option<Time>,
 }
 
@@ -93,6 +99,7 @@
             fleet: Fleet::default(),
             classes: BTreeMap::new(),
             booking: 0,
+            cached: Vec::new(),
             types_at: None,
         }
     }
@@ -332,6 +339,13 @@
             match item.value {
                 Value::Job(record) => {
                     let id = record.spec.id.clone();
+                    let since = now - (wall - record.at).max(0.0);
+                    if now - since < REMEMBERED_S {
+                        for m in &record.ran_on {
+                            let s = &record.spec;
+                            l.cached.push((m.clone(), s.image.clone(), s.image_gb, since));
+                        }
+                    }
                     if record.status.is_final() && record.page.places.is_empty() {
                         finals.push((id, record.status, record.done));
                     } else {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -249,7 +249,7 @@
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
         match &self.role {
-            Role::Leader(l) if !l.held.is_empty() => 0.02,
+            Role::Leader(l) if l.held.iter().any(|h| !h.idle) => 0.02,
             Role::Leader(_) => 0.1,
             Role::Follower => 0.2,
         }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -34,8 +34,8 @@
     /// Cloud takes it away at that time.
     pub notice_until: Option<Time>,
     pub tasks: Vec<TaskReport>,
-    /// Images its tasks needed, with when last.
-    pub images: BTreeMap<String, Time>,
+    /// Images its tasks needed, with when last and how large.
+    pub images: BTreeMap<String, (Time, f64)>,
     pub idle_since: Time,
     /// Failures by job since its last success.
     pub failures: BTreeMap<String, u32>,
@@ -89,6 +89,18 @@
         true
     }
 
+    /// The images that it should still hold: the latest that fit its cache.
+    pub fn cached(&self, cache_gb: f64) -> Vec<String> {
+        let mut list: Vec<(&String, &(Time, f64))> = self.images.iter().collect();
+        list.sort_by(|a, b| b.1 .0.total_cmp(&a.1 .0));
+        let mut total = 0.0;
+        let fits = |(_, (_, gb)): &(&String, &(Time, f64))| {
+            total += gb;
+            total <= cache_gb.max(1.0)
+        };
+        list.into_iter().take_while(fits).map(|(name, _)| name.clone()).collect()
+    }
+
     pub fn takes_work(&self) -> bool {
         self.life != Life::Leaving && self.notice_until.is_none() && !self.sick
     }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -201,7 +201,7 @@
                 ready,
                 free: Amounts::new(t.cores, t.accelerators, t.memory_gb),
                 busy: Vec::new(),
-                images: m.images.keys().cloned().collect(),
+                images: m.cached(t.cache_gb),
                 slowness: m.slowness,
             });
         }
@@ -354,7 +354,7 @@
             };
             job.add_place(s.task, &names[s.machine], attempt, now);
             if let Some(m) = l.machines.get_mut(&names[s.machine]) {
-                m.images.insert(p.jobs[s.job].image.clone(), now);
+                m.images.insert(p.jobs[s.job].image.clone(), (now, p.jobs[s.job].image_gb));
                 m.idle_since = now;
             }
         }
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -63,8 +63,15 @@
     /// Tasks per page; kept so that other settings cannot reinterpret it.
     pub per_page: u32,
     pub page: PageRecord,
+    /// Machines that have its image, as far as it ran there; a new leader
+    /// learns from it what idle machines hold.
+    #[serde(default)]
+    pub ran_on: Vec<String>,
 }
 
+/// Most machines that a record remembers.
+pub const MOST_RAN_ON: usize = 40;
+
 /// Tasks per page such that a page full of placements, of 48 bytes each in
 /// JSON at most, stays within half of a value's limit.
 pub fn tasks_per_page(value_kb: f64) -> u32 {
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -144,6 +144,7 @@
             running: 0,
             attempt: 0,
             page: PageRecord::default(),
+            ran_on: Vec::new(),
             spec,
         };
         let txn = Txn {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -13,6 +13,8 @@
     pub request: RequestId,
     pub machine: String,
     pub until: Time,
+    /// Its machine has nothing to do: the answer waits for a launch.
+    pub idle: bool,
 }
 
 /// Most workers whose reports are counted.
@@ -33,6 +35,9 @@
         }
         let grace = self.d.grace_s;
         let hold = self.d.worker_timeout_s / 10.0;
+        // Well inside the worker's patience, and no longer than it would wait
+        // before its next report anyway.
+        let idle_hold = (self.settings.params.workers.report_s * 0.7).min(self.d.worker_timeout_s / 2.0);
         let Role::Leader(l) = &mut self.role else {
             let report_to =
                 self.known_leader.as_ref().map(|(n, _)| n.clone()).filter(|n| *n != self.settings.node);
@@ -60,11 +65,16 @@
             info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
                   took_s = now - m.since, "machine up");
             l.plan_dirty = true;
+            for (_, image, gb, at) in l.cached.iter().filter(|c| c.0 == id) {
+                m.images.insert(image.clone(), (*at, *gb));
+            }
         }
         m.answered = now;
         if self.take_report(&report, true) {
             if let Role::Leader(l) = &mut self.role {
-                l.held.push(Held { request: req, machine: id, until: now + hold });
+                let idle = report.tasks.is_empty() && l.machines.get(&id).is_some_and(Machine::takes_work);
+                let until = now + if idle { idle_hold } else { hold };
+                l.held.push(Held { request: req, machine: id, until, idle });
             }
         } else {
             // Late: its sender has given it up, and its tasks are as old as it.
@@ -121,6 +131,7 @@
                         p.inherited = false;
                         if t.state == TaskState::Running && p.running_since.is_none() {
                             p.running_since = Some(now);
+                            job.ran_on.insert(report.machine.clone());
                             job.first_start.get_or_insert(now);
                         }
                         if first && job.places.values().filter(|p| p.seen.is_some()).count() == 1 {
@@ -304,7 +315,16 @@
                                 .is_some_and(|j| !j.clean())
                     })
                 });
-            if open && now < h.until {
+            let launch = || {
+                l.jobs.values().any(|j| {
+                    !j.is_final()
+                        && j.places
+                            .values()
+                            .any(|p| p.machine == h.machine && p.committed && p.seen.is_none())
+                })
+            };
+            let wait = open || h.idle && !launch();
+            if wait && now < h.until {
                 waiting.push(h);
             } else {
                 ready.push(h);
