--- a/crates/testkit/tests/simulation.rs
+++ b/crates/testkit/tests/simulation.rs
@@ -146,7 +146,7 @@
 
 /// Runs many seeds with a guard off until the rule breaks.
 fn caught(rules: &[Rule], guards: Guards, faults: impl Fn(u64) -> Vec<(f64, Fault)>) -> bool {
-    (0..60).any(|seed| {
+    (0..150).any(|seed| {
         let mut s = setup(seed, faults(seed));
         s.guards = guards;
         let broken = Sim::new(s).run(300.0).to_vec();
@@ -185,16 +185,17 @@
 #[test]
 fn without_versions_a_final_state_goes_back() {
     let guards = Guards { versions: false, ..Guards::default() };
-    assert!(caught(&[Rule::WentBack, Rule::RanTwice, Rule::RanCancelled, Rule::NotDone], guards, |seed| {
-        (0..3)
-            .map(|n| {
-                (
-                    30.0 + 30.0 * n as f64,
-                    Fault::Cut { node: (seed as usize + n) % 3, state: true, workers: false, for_s: 12.0 },
-                )
-            })
-            .collect()
-    }));
+    // Held writes of a cut leader arrive after its successor's.
+    let faults = |seed: u64| {
+        let cut = |i: u64| Fault::Cut {
+            node: ((seed + i) % 3) as usize,
+            state: true,
+            workers: false,
+            for_s: 6.0 + (seed % 7) as f64,
+        };
+        (0..12).map(|i| (15.0 + 11.0 * i as f64 + (seed % 5) as f64, cut(i))).collect()
+    };
+    assert!(caught(&[Rule::WentBack, Rule::RanTwice, Rule::RanCancelled, Rule::NotDone], guards, faults));
 }
 
 #[test]
