--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -425,6 +425,10 @@
     }
 }
 
+/// What opening an emptier machine counts, per unused share of its processors
+/// and accelerators: more than a usual fetch, less than another price.
+const OPENING: f64 = 0.15;
+
 /// Where one task could go.
 #[derive(Clone, Copy)]
 struct Option1 {
@@ -506,7 +510,7 @@
         // ranks behind any spot machine for a job that may use either.
         let cost = price / side * (job.run_s * machine.slowness + fetch);
         let empty = left.cores / t.size.cores.max(SLACK) + left.accelerators / t.size.accelerators.max(SLACK);
-        Some(Option1 { machine: m, at, rank: (cost, empty) })
+        Some(Option1 { machine: m, at, rank: (cost * (1.0 + OPENING * empty), empty) })
     }
 
     fn team_allows(&self, job: &Job, tasks: u32) -> bool {
