--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -247,6 +247,7 @@
         let entitled = self.entitled();
         let own = self.operator.clone();
         let lease_s = self.settings.params.workers.lease_s;
+        let silent_s = self.d.silent_s / 2.0;
         let prompt = self.prompt_classes();
         let Role::Leader(l) = &mut self.role else { return };
         let since = l.since;
@@ -292,7 +293,7 @@
                 }
                 Life::Up if m.sick && !used.contains_key(&m.id) => m.life = Life::Leaving,
                 Life::Up
-                    if m.heard.is_some()
+                    if m.heard.is_some_and(|h| now - h < silent_s)
                         && m.tasks.is_empty()
                         && m.notice_until.is_none()
                         && now - m.idle_since > boot * hold(m)
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -143,6 +143,10 @@
     pub now: f64,
     pub ledger: Ledger,
     pub starts: u64,
+    /// Transactions that failed on a condition.
+    pub conflicts: u64,
+    /// Machines that a controller deleted, with when.
+    pub deleted: Vec<(f64, String)>,
     /// Longest time without a node that answers reports.
     pub leaderless_s: f64,
     last_lead: f64,
@@ -187,6 +191,8 @@
             now: 0.0,
             ledger: Ledger::default(),
             starts: 0,
+            conflicts: 0,
+            deleted: Vec::new(),
             leaderless_s: 0.0,
             last_lead: 0.0,
             guards: setup.guards,
@@ -364,6 +370,8 @@
                     let boot = self.rng.gen_range(2.0..12.0);
                     self.cloud.execute(self.now, &op, late, boot)
                 };
+                let now = self.now;
+                self.deleted.extend(self.cloud.deleted.iter().map(|id| (now, id.clone())));
                 self.drop_deleted();
                 self.reply(n, inc, Input::Cloud(call, r), 0.0);
             }
@@ -436,7 +444,10 @@
         }
         let before = self.store.revision;
         match self.store.execute(self.now, &op) {
-            Some(r) => self.reply(n, inc, Input::State(call, r), cut),
+            Some(r) => {
+                self.conflicts += u64::from(matches!(r, StateReply::Conflict(_)));
+                self.reply(n, inc, Input::State(call, r), cut);
+            }
             None if is_watch => {
                 let StateOp::Watch { wait_ms, .. } = &op else { return };
                 let until = self.now + *wait_ms as f64 / 1000.0;
--- a/crates/testkit/tests/simulation.rs
+++ b/crates/testkit/tests/simulation.rs
@@ -144,6 +144,64 @@
     );
 }
 
+/// Followers once took revision 0 of a fresh store for "unknown", missed the
+/// first leader and claimed over and over.
+#[test]
+fn followers_see_the_first_leader_of_a_fresh_store() {
+    let mut sim = Sim::new(Setup { jobs: vec![], ..setup(5, vec![]) });
+    assert_eq!(sim.run(60.0), []);
+    assert!(sim.conflicts <= 2, "{}", sim.conflicts);
+}
+
+/// Jobs that fill four machines for the whole run.
+fn long_jobs() -> Vec<(f64, JobSpec, Option<f64>)> {
+    (0..4)
+        .map(|n| {
+            let spec = JobSpec {
+                id: format!("req-{n}"),
+                team: ["dispatch", "clinics"][n % 2].into(),
+                shape: Shape::Array,
+                tasks: 4,
+                zone: None,
+                one_zone: false,
+                spread: false,
+                spot: false,
+                estimate_s: 500.0,
+                ..job(&mut SmallRng::seed_from_u64(1), n)
+            };
+            (2.0, spec, None)
+        })
+        .collect()
+}
+
+/// A leader that loses only the workers must not give up the fleet, and
+/// another has to answer the workers before their leases are over.
+#[test]
+fn a_leader_without_workers_resigns_and_deletes_nothing() {
+    for node in 0..3 {
+        let cut = Fault::Cut { node, state: false, workers: true, for_s: 60.0 };
+        let mut sim = Sim::new(Setup { jobs: long_jobs(), capacity: 4, ..setup(11, vec![(60.0, cut)]) });
+        assert_eq!(sim.run(59.0), []);
+        let (before, starts) = (sim.deleted.len(), sim.starts);
+        assert_eq!(sim.run(140.0), []);
+        assert_eq!(sim.deleted.len(), before, "{:?}", sim.deleted);
+        assert_eq!(sim.starts, starts, "running work went on");
+    }
+}
+
+/// A new leader once took machines that had been up for long, but that it had
+/// not heard yet, for stuck boots.
+#[test]
+fn a_takeover_deletes_no_machine_that_is_up() {
+    let crashes = (0..3).map(|node| (100.0, Fault::Crash { node, for_s: 3.0 })).collect();
+    let mut sim = Sim::new(Setup { jobs: long_jobs(), ..setup(12, crashes) });
+    assert_eq!(sim.run(99.0), []);
+    let (before, starts) = (sim.deleted.len(), sim.starts);
+    assert_eq!(sim.run(150.0), []);
+    assert_eq!(sim.deleted.len(), before, "{:?}", sim.deleted);
+    assert_eq!(sim.starts, starts, "running work went on");
+}
+
 /// Runs many seeds with a guard off until the rule breaks.
 fn caught(rules: &[Rule], guards: Guards, faults: impl Fn(u64) -> Vec<(f64, Fault)>) -> bool {
     (0..150).any(|seed| {
