--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -104,12 +104,14 @@
         let token = l.token;
         let Some(m) = l.machines.get_mut(&report.machine) else { return false };
         let noticed = m.notice_until.is_some();
+        let mut leaving = None;
         if !m.update(report, now) {
             return false;
         }
         if m.notice_until.is_some() && !noticed {
             info!(machine = %report.machine, notice_s = report.notice_s, "spot notice");
             l.plan_dirty = true;
+            leaving = report.notice_s;
         }
         // Only a worker that has seen this leader's token is past every
         // earlier leader's commands: absence proves nothing before.
@@ -180,6 +182,9 @@
             self.settle_final(&id);
             self.stop_now(&id);
         }
+        if let Some(notice_s) = leaving {
+            self.save_before(&report.machine, notice_s);
+        }
         if let Role::Leader(l) = &mut self.role {
             if let Some(m) = l.machines.get_mut(&report.machine) {
                 if !report.tasks.is_empty() {
@@ -190,6 +195,29 @@
         true
     }
 
+    /// The cloud takes `machine` away: gangs that can save do so, all of their
+    /// tasks at once, if there is time. Other work goes on as long as it can.
+    fn save_before(&mut self, machine: &str, notice_s: f64) {
+        let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return };
+        let mut stopped = Vec::new();
+        for (id, job) in &mut l.jobs {
+            let grace = job.spec.save_s * 1.25;
+            let here = job.places.values().any(|p| p.machine == machine && p.running_since.is_some());
+            let can = job.spec.checkpoint_s > 0.0 && job.spec.shape == Shape::Gang && !job.is_final();
+            if !here || !can || grace > notice_s || job.places.values().any(|p| p.stopping.is_some()) {
+                continue;
+            }
+            for p in job.places.values_mut() {
+                p.stopping = Some((now, grace));
+            }
+            stopped.push(id.clone());
+        }
+        for id in stopped {
+            self.stop_now(&id);
+        }
+    }
+
     fn reported(report: &Report, job: &str, task: u32, place: &Place) -> bool {
         report.tasks.iter().any(|t| t.attempt == place.attempt && split_task(&t.task) == Some((job, task)))
     }
