--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -2,8 +2,9 @@
 //! key's version and by the version of every record it replaces.
 
 use crate::leader::Role;
+use crate::planning::band;
 use crate::record::*;
-use crate::{Core, Purpose, StateOp, StateReply};
+use crate::{Core, Purpose, StateOp, StateReply, Time};
 use std::collections::BTreeSet;
 use tracing::{debug, warn};
 use wire::job::JobStatus;
@@ -19,8 +20,14 @@
     pub id: String,
     pub count: u64,
     pub pages: BTreeSet<usize>,
+    /// They were all that had changed.
+    pub whole: bool,
 }
 
+/// Part of the state service's rate of changes that the leader may take; the
+/// rest is for submissions and cancellations.
+pub const LEADER_WRITES: f64 = 0.7;
+
 impl InFlight {
     pub fn touches(&self, id: &str) -> bool {
         self.parts.iter().any(|p| p.id == id)
@@ -42,11 +49,38 @@
             return;
         }
         let most = self.settings.params.state.txn_ops;
-        let rate = self.settings.params.state.write_rps * 0.5;
+        let rate = self.settings.params.state.write_rps * LEADER_WRITES;
+        let lazy_s = self.settings.params.workers.report_s / 2.0;
+        let scan_s = self.d.tick_s / 50.0;
         let Role::Leader(l) = &mut self.role else { return };
         if l.commit.is_some() || l.rereads > 0 || now < l.commit_retry {
             return;
         }
+        if now < l.commit_scan && !l.commit_now {
+            return;
+        }
+        l.commit_scan = now + scan_s;
+        l.commit_now = false;
+        // Placements and completed jobs go at once, the most urgent first;
+        // mere ends and counts wait a little, so that many of a job share one
+        // change, and leave half of the budget to what presses. (In the order
+        // of ids, late jobs once starved under a backlog.)
+        let mut due: Vec<(bool, u8, Time, String)> = Vec::new();
+        for (id, job) in &mut l.jobs {
+            if job.clean() {
+                continue;
+            }
+            let since = *job.dirty_since.get_or_insert(now);
+            if job.pressing || job.is_final() {
+                due.push((false, u8::MAX - band(&job.spec), job.submitted, id.clone()));
+            } else if now >= since + lazy_s {
+                due.push((true, 0, since, id.clone()));
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        due.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3)));
         let token = l.token;
         let budget = l.fleet.write_budget(rate);
         let mut txn = Txn {
@@ -55,39 +89,39 @@
         };
         let mut parts = Vec::new();
         let mut size = 0;
-        for (id, job) in &mut l.jobs {
-            if job.clean() {
-                continue;
-            }
-            if txn.changes.len() >= most || !budget.take(now, 1.0) {
+        for (lazy, _, _, id) in due {
+            let Some(job) = l.jobs.get_mut(&id) else { continue };
+            let room = most - txn.changes.len();
+            if room == 0 || lazy && budget.left(now) < rate / 2.0 {
                 break;
             }
             // Page 0 is part of the main record, which is always written.
-            let room = most - txn.changes.len();
             let pages: BTreeSet<usize> = std::iter::once(0)
                 .chain(job.dirty_pages.iter().copied().filter(|&p| p > 0).take(room - 1))
                 .collect();
-            if job.complete() && !job.is_final() && job.dirty_pages.is_subset(&pages) {
+            let more: usize = pages.iter().map(|&p| job.page_size(p) + 200).sum();
+            if size > 0 && size + more > TXN_LIMIT * 7 / 8 {
+                continue;
+            }
+            if !budget.take(now, pages.len() as f64) {
+                break;
+            }
+            size += more;
+            let whole = job.dirty_pages.is_subset(&pages);
+            if job.complete() && !job.is_final() && whole {
                 job.status = JobStatus::Done;
             }
-            let mut changes = Vec::new();
             for &page in &pages {
                 let (key, value, version) = if page == 0 {
-                    (job_key(id), Value::Job(Box::new(job.record())), job.version)
+                    (job_key(&id), Value::Job(Box::new(job.record())), job.version)
                 } else {
                     let version = job.page_versions.get(&page).copied().unwrap_or(0);
-                    (page_key(id, page), Value::Page(job.page_record(page)), version)
+                    (page_key(&id, page), Value::Page(job.page_record(page)), version)
                 };
-                // JSON is larger than MessagePack, by less than half here.
-                size += wire::encode(&value).len() * 3 / 2 + 200;
                 txn.conditions.push(Condition { key: key.clone(), version });
-                changes.push(Change::Put { key, value, lease: None });
-            }
-            txn.changes.append(&mut changes);
-            parts.push(Part { id: id.clone(), count: job.mutated, pages });
-            if size > TXN_LIMIT / 2 {
-                break;
+                txn.changes.push(Change::Put { key, value, lease: None });
             }
+            parts.push(Part { id, count: job.mutated, pages, whole });
         }
         if parts.is_empty() {
             return;
@@ -110,7 +144,8 @@
             StateReply::Committed(revision) => {
                 for part in &c.parts {
                     if let Some(job) = l.jobs.get_mut(&part.id) {
-                        job.applied(part.count, &part.pages, revision);
+                        job.applied(part.count, &part.pages, part.whole, revision);
+                        l.recheck.extend(job.places.values().map(|p| p.machine.clone()));
                     }
                 }
                 for part in &c.parts {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::machine::{Life, Machine};
 use crate::record::*;
 use crate::{Budget, CloudOp, CloudReply, Core, Purpose, StateOp, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use tracing::{info, warn};
 use wire::cloud::*;
 use wire::state::{Change, Condition, Txn};
@@ -254,10 +254,8 @@
         if !entitled {
             return;
         }
-        let mut used: BTreeMap<String, u32> = BTreeMap::new();
-        for p in l.jobs.values().flat_map(|j| j.places.values()) {
-            *used.entry(p.machine.clone()).or_insert(0) += 1;
-        }
+        let places = l.jobs.values().flat_map(|j| j.places.values());
+        let used: HashSet<&str> = places.map(|p| p.machine.as_str()).collect();
         let mut count: BTreeMap<Pool, u32> = BTreeMap::new();
         for m in l.machines.values().filter(|m| m.takes_work()) {
             *count.entry((m.machine_type.clone(), m.spot)).or_insert(0) += 1;
@@ -281,7 +279,7 @@
         };
         for m in l.machines.values_mut() {
             let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
-            if used.contains_key(&m.id) {
+            if used.contains(m.id.as_str()) {
                 m.idle_since = now;
             }
             match m.life {
@@ -291,7 +289,7 @@
                     info!(machine = %m.id, "boot is stuck, giving it back");
                     m.life = Life::Leaving;
                 }
-                Life::Up if m.sick && !used.contains_key(&m.id) => m.life = Life::Leaving,
+                Life::Up if m.sick && !used.contains(m.id.as_str()) => m.life = Life::Leaving,
                 Life::Up
                     if m.heard.is_some_and(|h| now - h < silent_s)
                         && m.tasks.is_empty()
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -45,6 +45,17 @@
     pub mutated: u64,
     pub stored: u64,
     pub dirty_pages: BTreeSet<usize>,
+    /// Its next write should not wait: it places tasks or completes the job.
+    pub pressing: bool,
+    /// Since when something is not stored yet.
+    pub dirty_since: Option<Time>,
+    /// Count at which each task last lost its place or ended: the worker may
+    /// forget the attempt once that much is stored.
+    left_at: BTreeMap<u32, u64>,
+    /// The number of its image with this leader.
+    pub image: u32,
+    /// Bytes that the specification takes in JSON, at most.
+    spec_size: usize,
     pub not_before: Time,
     /// Failures in a row, and the machines they were on.
     pub failures: u32,
@@ -61,6 +72,7 @@
     pub fn new(spec: JobSpec, at: f64, submitted: Time, per_page: u32) -> Self {
         let tasks = spec.tasks as usize;
         Job {
+            spec_size: wire::encode(&spec).len() * 3 / 2 + 100,
             spec,
             at,
             submitted,
@@ -75,6 +87,10 @@
             mutated: 0,
             stored: 0,
             dirty_pages: BTreeSet::new(),
+            pressing: false,
+            dirty_since: None,
+            left_at: BTreeMap::new(),
+            image: 0,
             not_before: 0.0,
             failures: 0,
             failed_on: BTreeSet::new(),
@@ -166,13 +182,43 @@
                 *d = true;
                 self.done_count += 1;
                 self.touch(task);
+                self.left_at.insert(task, self.mutated);
+                self.pressing |= self.complete();
             }
         }
     }
 
+    /// Whether all that is known of `task` is stored, so that its worker may
+    /// forget an exited attempt. Asking for the whole job to be stored instead
+    /// kept the exited tasks of busy arrays in the reports.
+    pub fn outcome_stored(&self, task: u32) -> bool {
+        self.left_at.get(&task).is_none_or(|&count| count <= self.stored)
+    }
+
+    /// Bytes that a page's record takes in JSON, at most.
+    pub fn page_size(&self, page: usize) -> usize {
+        let range = self.range(page);
+        let main = if page == 0 {
+            let ran_on: usize = self.ran_on.iter().take(MOST_RAN_ON).map(|m| m.len() + 3).sum();
+            self.spec_size + ran_on + 200
+        } else {
+            0
+        };
+        self.places_size(page) + range.len() / 4 + main + 100
+    }
+
+    /// Bytes that a page's placements take.
+    pub fn places_size(&self, page: usize) -> usize {
+        let range = self.range(page);
+        let (from, to) = (range.start as u32, range.end as u32);
+        let places = self.places.range(from..to.max(from));
+        places.map(|(&t, p)| StoredPlacement::size(t, p.attempt, &p.machine)).sum()
+    }
+
     pub fn add_place(&mut self, task: u32, machine: &str, attempt: u64, now: Time) {
         self.attempt = self.attempt.max(attempt);
         self.touch(task);
+        self.pressing = true;
         self.places.insert(
             task,
             Place {
@@ -195,12 +241,20 @@
     pub fn release(&mut self, task: u32) {
         if self.places.remove(&task).is_some() {
             self.touch(task);
+            self.left_at.insert(task, self.mutated);
         }
         if self.places.is_empty() {
             self.aborting = false;
         }
     }
 
+    /// Whether no unfinished task is without a place, told without a list.
+    pub fn nothing_waits(&self) -> bool {
+        let gang = self.spec.shape == Shape::Gang && !self.places.is_empty();
+        let accounted = self.done_count as usize + self.places.len() >= self.done.len();
+        self.is_final() || gang || accounted && self.waiting(1).is_empty()
+    }
+
     /// Unfinished tasks without a place; a gang's only when nothing of its
     /// last attempt is left.
     pub fn waiting(&self, most: usize) -> Vec<u32> {
@@ -252,8 +306,9 @@
         }
     }
 
-    /// A write of mutation count `count`, holding `pages`, was applied.
-    pub fn applied(&mut self, count: u64, pages: &BTreeSet<usize>, revision: u64) {
+    /// A write of mutation count `count`, holding `pages`, was applied;
+    /// `whole` if these were all that had changed.
+    pub fn applied(&mut self, count: u64, pages: &BTreeSet<usize>, whole: bool, revision: u64) {
         // A reread may have shown a later version already (a cancellation on
         // top of this write): versions never go back.
         self.version = self.version.max(revision);
@@ -267,12 +322,17 @@
                 place.committed = true;
             }
         }
+        if whole {
+            self.stored = self.stored.max(count);
+        }
         if self.mutated == count {
             self.dirty_pages.retain(|p| !pages.contains(p));
             if self.dirty_pages.is_empty() {
                 self.stored = count;
             }
         }
+        self.pressing = self.places.values().any(|p| !p.committed) || self.complete() && !self.is_final();
+        self.dirty_since = None;
     }
 
     /// Brings the job into step with its main record as read from the store:
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -8,7 +8,7 @@
 use crate::workers::Held;
 use crate::{CallId, Core, Purpose, StateOp, StateReply, Time};
 use rand::Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use tracing::{debug, info, warn};
 use wire::job::JobSpec;
 use wire::state::{Change, Condition, Event, Item, Txn};
@@ -57,15 +57,30 @@
     pub rereads: u32,
     pub reread_queue: Vec<String>,
     pub commit_retry: Time,
-    pub held: Vec<Held>,
+    /// Next look for jobs to be written, and whether one is due at once.
+    pub commit_scan: Time,
+    pub commit_now: bool,
+    /// Reports that wait for their answer, by machine.
+    pub held: BTreeMap<String, Held>,
+    /// Machines whose held report may have become ready.
+    pub recheck: BTreeSet<String>,
+    pub held_scan: Time,
+    /// Which tasks were placed on a machine. An entry may be outdated; looking
+    /// there is what removes it (`tasks_on`).
+    on: HashMap<String, BTreeSet<(String, u32)>>,
+    /// Last look after machines, fleet and cloud.
+    pub swept_at: Time,
     pub plan_dirty: bool,
     pub planned_at: Time,
+    /// No plan before then: the last one took its share of the processor.
+    pub plan_after: Time,
+    image_ids: HashMap<String, u32>,
     pub fleet: Fleet,
     pub classes: BTreeMap<String, crate::planning::ClassStats>,
     pub booking: u64,
-    /// Images that machines got by earlier leaders' work: (machine, image,
-    /// size, when the job was submitted).
-    pub cached: Vec<(String, String, f64, Time)>,
+    /// Images that machines got by earlier leaders' work, by machine: image,
+    /// when the job was submitted, size.
+    pub cached: HashMap<String, Vec<(u32, Time, f64)>>,
     pub types_at: Option<Time>,
 }
 
@@ -93,16 +108,71 @@
             rereads: 0,
             reread_queue: Vec::new(),
             commit_retry: now,
-            held: Vec::new(),
+            commit_scan: now,
+            commit_now: false,
+            held: BTreeMap::new(),
+            recheck: BTreeSet::new(),
+            held_scan: now,
+            on: HashMap::new(),
+            swept_at: now - 1.0,
             plan_dirty: true,
             planned_at: now - 1.0,
+            plan_after: now,
+            image_ids: HashMap::new(),
             fleet: Fleet::default(),
             classes: BTreeMap::new(),
             booking: 0,
-            cached: Vec::new(),
+            cached: HashMap::new(),
             types_at: None,
         }
     }
+
+    /// The tasks that have a place on `machine`.
+    pub fn tasks_on(&mut self, machine: &str) -> Vec<(String, u32)> {
+        let Some(set) = self.on.get_mut(machine) else { return Vec::new() };
+        let jobs = &self.jobs;
+        set.retain(|(id, task)| {
+            jobs.get(id).and_then(|j| j.places.get(task)).is_some_and(|p| p.machine == machine)
+        });
+        if set.is_empty() {
+            self.on.remove(machine);
+            return Vec::new();
+        }
+        set.iter().cloned().collect()
+    }
+
+    /// Takes in a job as its record shows it.
+    fn adopt_job(&mut self, mut job: Job) {
+        job.image = self.image_id(&job.spec.image);
+        let id = job.spec.id.clone();
+        self.jobs.insert(id.clone(), job);
+        self.index_job(&id);
+    }
+
+    /// Notes where all tasks of a job are.
+    pub fn index_job(&mut self, id: &str) {
+        let Some(job) = self.jobs.get(id) else { return };
+        for (&task, p) in &job.places {
+            self.on.entry(p.machine.clone()).or_default().insert((id.to_string(), task));
+        }
+    }
+
+    /// Gives `task` of job `id` its place on `machine`.
+    pub fn add_place(&mut self, id: &str, task: u32, machine: &str, attempt: u64, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.add_place(task, machine, attempt, now);
+        self.on.entry(machine.to_string()).or_default().insert((id.to_string(), task));
+    }
+
+    /// An image's number, by which the planner knows it.
+    pub fn image_id(&mut self, name: &str) -> u32 {
+        if let Some(&n) = self.image_ids.get(name) {
+            return n;
+        }
+        let n = self.image_ids.len() as u32;
+        self.image_ids.insert(name.to_string(), n);
+        n
+    }
 }
 
 impl Core {
@@ -238,7 +308,7 @@
     pub(crate) fn step_down(&mut self, why: &str) {
         if let Role::Leader(l) = std::mem::replace(&mut self.role, Role::Follower) {
             warn!(token = l.token, why, "no longer leading");
-            for h in l.held {
+            for h in l.held.into_values() {
                 self.refuse(h.request, 503, "no longer leading");
             }
             self.known_leader = None;
@@ -300,10 +370,20 @@
             for (id, record, version) in created {
                 self.saw_record(&job_key(&id), Value::Job(Box::new(record)), version);
             }
-            self.machines_on_time();
-            self.resign_if_unheard();
+            // What looks at every machine need not be done at every message.
+            let sweep_s = self.d.tick_s / 10.0;
+            let due = matches!(&self.role, Role::Leader(l) if now - l.swept_at >= sweep_s);
+            if due {
+                if let Role::Leader(l) = &mut self.role {
+                    l.swept_at = now;
+                }
+                self.machines_on_time();
+                self.resign_if_unheard();
+            }
             self.plan_on_time();
-            self.fleet_on_time();
+            if due {
+                self.fleet_on_time();
+            }
             self.commit_on_time();
             self.release_held();
         }
@@ -341,9 +421,10 @@
                     let id = record.spec.id.clone();
                     let since = now - (wall - record.at).max(0.0);
                     if now - since < REMEMBERED_S {
+                        let image = l.image_id(&record.spec.image);
                         for m in &record.ran_on {
-                            let s = &record.spec;
-                            l.cached.push((m.clone(), s.image.clone(), s.image_gb, since));
+                            let had = (image, since, record.spec.image_gb);
+                            l.cached.entry(m.clone()).or_default().push(had);
                         }
                     }
                     if record.status.is_final() && record.page.places.is_empty() {
@@ -351,7 +432,7 @@
                     } else {
                         let submitted = now - (wall - record.at).max(0.0);
                         arrived.push((record.spec.clone(), submitted));
-                        l.jobs.insert(id, Job::load(&record, item.version, submitted));
+                        l.adopt_job(Job::load(&record, item.version, submitted));
                     }
                 }
                 Value::Page(record) => {
@@ -437,7 +518,7 @@
                     return;
                 }
                 let submitted = now - (wall - record.at).max(0.0);
-                l.jobs.insert(id.to_string(), Job::load(&record, version, submitted));
+                l.adopt_job(Job::load(&record, version, submitted));
                 l.plan_dirty = true;
                 self.note_arrival(&record.spec, submitted);
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,10 @@
         self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.rate.max(1.0));
         self.at = now;
     }
+    pub(crate) fn left(&mut self, now: Time) -> f64 {
+        self.refill(now);
+        self.level
+    }
     pub(crate) fn take(&mut self, now: Time, n: f64) -> bool {
         self.refill(now);
         let enough = self.level >= n.min(self.rate.max(1.0));
@@ -190,7 +194,7 @@
             // Users' reads and writes at one node may take their share of
             // four fifths; the rest is for renewals, watches and the leader.
             reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
-            writes: Budget::new(settings.params.state.write_rps * 0.5 / nodes),
+            writes: Budget::new(settings.params.state.write_rps * (1.0 - commit::LEADER_WRITES) / nodes),
             state_ok_at: 0.0,
             workers_heard: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -249,7 +253,7 @@
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
         match &self.role {
-            Role::Leader(l) if l.held.iter().any(|h| !h.idle) => 0.02,
+            Role::Leader(l) if l.held.values().any(|h| !h.idle) => 0.02,
             Role::Leader(_) => 0.1,
             Role::Follower => 0.2,
         }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -13,6 +13,9 @@
     Leaving,
 }
 
+/// Most images that are remembered of a machine.
+const MOST_IMAGES: usize = 64;
+
 #[derive(Debug, Clone)]
 pub struct Machine {
     pub id: String,
@@ -34,8 +37,8 @@
     /// Cloud takes it away at that time.
     pub notice_until: Option<Time>,
     pub tasks: Vec<TaskReport>,
-    /// Images its tasks needed, with when last and how large.
-    pub images: BTreeMap<String, (Time, f64)>,
+    /// Images its tasks needed, with when last and how large; the latest first.
+    images: Vec<(u32, Time, f64)>,
     pub idle_since: Time,
     /// Failures by job since its last success.
     pub failures: BTreeMap<String, u32>,
@@ -60,7 +63,7 @@
             listed: false,
             notice_until: None,
             tasks: Vec::new(),
-            images: BTreeMap::new(),
+            images: Vec::new(),
             idle_since: now,
             failures: BTreeMap::new(),
             sick: false,
@@ -89,16 +92,23 @@
         true
     }
 
+    /// A task that needs `image` was there at that time.
+    pub fn note_image(&mut self, image: u32, at: Time, gb: f64) {
+        let at = self.images.iter().find(|i| i.0 == image).map_or(at, |i| i.1.max(at));
+        self.images.retain(|i| i.0 != image);
+        let place = self.images.partition_point(|i| i.1 >= at);
+        self.images.insert(place, (image, at, gb));
+        self.images.truncate(MOST_IMAGES);
+    }
+
     /// The images that it should still hold: the latest that fit its cache.
-    pub fn cached(&self, cache_gb: f64) -> Vec<String> {
-        let mut list: Vec<(&String, &(Time, f64))> = self.images.iter().collect();
-        list.sort_by(|a, b| b.1 .0.total_cmp(&a.1 .0));
+    pub fn cached(&self, cache_gb: f64) -> Vec<u32> {
         let mut total = 0.0;
-        let fits = |(_, (_, gb)): &(&String, &(Time, f64))| {
+        let fits = |(_, _, gb): &&(u32, Time, f64)| {
             total += gb;
             total <= cache_gb.max(1.0)
         };
-        list.into_iter().take_while(fits).map(|(name, _)| name.clone()).collect()
+        self.images.iter().take_while(fits).map(|i| i.0).collect()
     }
 
     pub fn takes_work(&self) -> bool {
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -5,9 +5,10 @@
 use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::Life;
+use crate::record::{page_room, StoredPlacement};
 use crate::Core;
 use plan::{Amounts, Busy, Problem, Victim};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use tracing::{debug, info};
 use wire::job::{JobSpec, Priority, Shape};
 
@@ -64,7 +65,7 @@
     Amounts::new(s.cores, s.accelerators, s.memory_gb)
 }
 
-fn band(s: &JobSpec) -> u8 {
+pub(crate) fn band(s: &JobSpec) -> u8 {
     match s.priority {
         Priority::Low => 0,
         Priority::Normal => 1,
@@ -98,7 +99,11 @@
 /// Most tasks of one job that one planning round looks at.
 const MOST_TASKS: usize = 256;
 /// Most jobs that one planning round looks at.
-const MOST_JOBS: usize = 400;
+const MOST_JOBS: usize = 1000;
+/// Planner's steps that a whole core may be asked for in a second. A step takes
+/// some tenths of a microsecond, so planning stays within a small part of the
+/// node's share; what it saves on a quiet day it may use at once.
+const PLAN_STEPS: f64 = 400_000.0;
 
 impl Core {
     fn expected_run(&self, job: &Job, ratio: f64) -> f64 {
@@ -164,9 +169,9 @@
         let tick = self.d.tick_s;
         let entitled = self.entitled();
         let Some(types) = self.types.clone() else { return };
-        let Role::Leader(l) = &self.role else { return };
-        let due = (l.plan_dirty && now - l.planned_at >= 0.03) || now - l.planned_at >= tick;
-        if !due || !entitled || !l.fleet.listed_once {
+        let Role::Leader(l) = &mut self.role else { return };
+        let due = l.plan_dirty || now - l.planned_at >= tick;
+        if !due || now < l.plan_after || !entitled || !l.fleet.listed_once {
             return;
         }
         let mut zones: Vec<String> = Vec::new();
@@ -175,11 +180,12 @@
                 zones.push(z.clone());
             }
         }
+        let Role::Leader(l) = &self.role else { return };
         let ratio = |class: &str| l.classes.get(class).map_or(1.0, ClassStats::ratio);
         // Machines: what their places take, and until when.
         let mut names: Vec<String> = Vec::new();
         let mut machines: Vec<plan::Machine> = Vec::new();
-        let mut index: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut index: HashMap<&str, usize> = HashMap::new();
         for m in l.machines.values().filter(|m| m.takes_work()) {
             let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
             let Some(zone) = zones.iter().position(|z| *z == m.zone) else { continue };
@@ -215,9 +221,12 @@
         }
         let team_of = |name: &str| self.settings.params.teams.iter().position(|t| t.name == name);
         let mut owners: Vec<(String, u32)> = Vec::new();
+        let mut steps = 0;
         for (id, job) in &l.jobs {
             let need = needs(&job.spec);
             let team = team_of(&job.spec.team);
+            let run = self.expected_run(job, ratio(&job.spec.class));
+            steps += job.places.len() as u64 + 1;
             for (task, p) in &job.places {
                 if let Some(t) = team.filter(|_| self.guards.quota).map(|t| &mut teams[t]) {
                     if let Some(x) = &mut t.cores_left {
@@ -229,7 +238,6 @@
                 }
                 if let Some(&m) = index.get(p.machine.as_str()) {
                     machines[m].free.take(&need);
-                    let run = self.expected_run(job, ratio(&job.spec.class));
                     let end = match (p.stopping, p.running_since) {
                         (Some((since, grace)), _) => since + grace + STOP_S,
                         (None, Some(s)) => (s + run).max(now + run * 0.1),
@@ -245,8 +253,8 @@
                         band: band(&job.spec),
                         victim,
                     });
-                    if !machines[m].images.contains(&job.spec.image) {
-                        machines[m].images.push(job.spec.image.clone());
+                    if !machines[m].images.contains(&job.image) {
+                        machines[m].images.push(job.image);
                     }
                 }
             }
@@ -254,6 +262,7 @@
         // Guarantees cover a team's unfinished jobs in the order they came.
         let mut by_age: Vec<(&String, &Job)> = l.jobs.iter().filter(|(_, j)| !j.is_final()).collect();
         by_age.sort_by(|a, b| a.1.submitted.total_cmp(&b.1.submitted).then(a.0.cmp(b.0)));
+        let mut open_jobs: Vec<(u8, bool, usize, &String, &Job)> = Vec::new();
         let mut covered: Vec<(f64, f64)> = vec![(0.0, 0.0); teams.len()];
         let mut ids: Vec<String> = Vec::new();
         let mut jobs: Vec<plan::Job> = Vec::new();
@@ -267,12 +276,20 @@
                 && (t.cores == 0.0 || c.0 <= t.cores + 1e-6)
                 && (t.accelerators == 0.0 || c.1 <= t.accelerators + 1e-6);
             covered[team] = c;
-            let waiting = job.waiting(MOST_TASKS);
-            if waiting.is_empty() || jobs.len() >= MOST_JOBS {
+            if job.nothing_waits() {
                 continue;
             }
+            open_jobs.push((band(s), guaranteed, team, id, job));
+        }
+        // Of a flood, the most urgent and then the oldest are looked at.
+        // (Taking the oldest alone once left urgent newcomers out.)
+        open_jobs.sort_by_key(|j| std::cmp::Reverse(j.0));
+        for (_, guaranteed, team, id, job) in open_jobs.into_iter().take(MOST_JOBS) {
+            let s = &job.spec;
+            let waiting = job.waiting(MOST_TASKS);
             let mut zone_load = vec![0u32; zones.len()];
-            for p in job.places.values() {
+            let zoned = s.one_zone || s.spread;
+            for p in job.places.values().filter(|_| zoned) {
                 let at = l.machines.get(&p.machine).and_then(|m| zones.iter().position(|z| *z == m.zone));
                 if let Some(z) = at {
                     zone_load[z] += 1;
@@ -280,7 +297,7 @@
             }
             // Its zones cannot be told while one of its machines is unknown.
             let unknown = zone_load.iter().sum::<u32>() < job.places.len() as u32;
-            if unknown && (s.one_zone || s.spread) {
+            if unknown && zoned {
                 continue;
             }
             ids.push(id.clone());
@@ -294,7 +311,7 @@
                 waiting,
                 needs: needs(s),
                 run_s: self.expected_run(job, ratio(&s.class)),
-                image: s.image.clone(),
+                image: job.image,
                 image_gb: s.image_gb,
                 kinds: (0..types.len())
                     .filter(|&k| s.types.as_ref().is_none_or(|l| l.contains(&types[k].name)))
@@ -331,6 +348,10 @@
             patience_s: if self.operator.preempt { self.settings.params.workers.report_s } else { f64::MAX },
         };
         let made = plan::plan(&problem);
+        let effort = (made.steps + steps) as f64 / (PLAN_STEPS * self.settings.params.resources.cpu_share);
+        if let Role::Leader(l) = &mut self.role {
+            l.plan_after = now + effort.clamp(tick / 50.0, tick);
+        }
         self.carry_out(&problem, &made, &names, &ids);
         self.stop_for_others(&made.stops, &owners);
         self.set_targets(&problem, &made, &types);
@@ -338,23 +359,36 @@
 
     fn carry_out(&mut self, p: &Problem, made: &plan::Plan, names: &[String], ids: &[String]) {
         let now = self.now;
+        let value_kb = self.settings.params.state.value_kb;
         let Role::Leader(l) = &mut self.role else { return };
         l.plan_dirty = false;
         l.planned_at = now;
         if !made.starts.is_empty() {
             debug!(starts = made.starts.len(), reserved = made.reservations.len(), "planned");
         }
+        let room = page_room(value_kb) as usize;
         let mut gangs: BTreeMap<usize, u64> = BTreeMap::new();
+        let mut filled: HashMap<(usize, usize), usize> = HashMap::new();
         for s in &made.starts {
-            let Some(job) = l.jobs.get_mut(&ids[s.job]) else { continue };
+            let Some(job) = l.jobs.get(&ids[s.job]) else { continue };
             let attempt = if job.spec.shape == Shape::Gang {
                 *gangs.entry(s.job).or_insert(job.attempt + 1)
             } else {
                 job.attempt + 1
             };
-            job.add_place(s.task, &names[s.machine], attempt, now);
+            // A page holds what fits into one stored value; the rest waits.
+            let page = job.page_of(s.task);
+            let fill = filled.entry((s.job, page)).or_insert_with(|| job.places_size(page));
+            let more = StoredPlacement::size(s.task, attempt, &names[s.machine]);
+            if *fill + more > room && job.spec.shape != Shape::Gang {
+                continue;
+            }
+            *fill += more;
+            l.add_place(&ids[s.job], s.task, &names[s.machine], attempt, now);
+            l.recheck.insert(names[s.machine].clone());
+            l.commit_now = true;
             if let Some(m) = l.machines.get_mut(&names[s.machine]) {
-                m.images.insert(p.jobs[s.job].image.clone(), (now, p.jobs[s.job].image_gb));
+                m.note_image(p.jobs[s.job].image, now, p.jobs[s.job].image_gb);
                 m.idle_since = now;
             }
         }
@@ -414,7 +448,7 @@
         let mut used: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut booting: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut have: BTreeMap<Pool, u32> = BTreeMap::new();
-        let placed: std::collections::BTreeSet<&str> =
+        let placed: HashSet<&str> =
             l.jobs.values().flat_map(|j| j.places.values()).map(|p| p.machine.as_str()).collect();
         for m in l.machines.values().filter(|m| m.takes_work()) {
             let pool = (m.machine_type.clone(), m.spot);
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -1,6 +1,7 @@
 //! What the controllers keep in the state service, and under which keys.
 
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Serialize, Serializer};
 use wire::cloud::MachineType;
 use wire::job::{JobSpec, JobStatus};
 
@@ -33,13 +34,33 @@
 }
 
 /// One task's place: committed before its launch, removed only on proof.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// Stored as a list, which takes half the room of a map; records that an earlier
+/// version stored as maps are read as well.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct StoredPlacement {
     pub task: u32,
     pub attempt: u64,
     pub machine: String,
 }
 
+impl Serialize for StoredPlacement {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let mut t = s.serialize_tuple(3)?;
+        t.serialize_element(&self.task)?;
+        t.serialize_element(&self.attempt)?;
+        t.serialize_element(&self.machine)?;
+        t.end()
+    }
+}
+
+impl StoredPlacement {
+    /// Bytes in JSON, at most: both numbers, the name, and what is around them.
+    pub fn size(task: u32, attempt: u64, machine: &str) -> usize {
+        let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        digits(u64::from(task)) + digits(attempt) + machine.len() + 7
+    }
+}
+
 /// State of the tasks of one page of a job.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct PageRecord {
@@ -72,10 +93,20 @@
 /// Most machines that a record remembers.
 pub const MOST_RAN_ON: usize = 40;
 
-/// Tasks per page such that a page full of placements, of 48 bytes each in
-/// JSON at most, stays within half of a value's limit.
+/// A placement's usual size in JSON, and what a job's record takes without any.
+const PLACE_BYTES: f64 = 24.0;
+const REST_BYTES: f64 = 2048.0;
+
+/// Tasks per page such that a page full of placements usually stays within a
+/// value's limit. Names longer than usual fill a page with fewer: what is over
+/// waits (`Job::room_on_page`).
 pub fn tasks_per_page(value_kb: f64) -> u32 {
-    ((value_kb * 1024.0 / 2.0 / 48.0) as u32).clamp(8, 4096) / 4 * 4
+    ((page_room(value_kb) / PLACE_BYTES) as u32).clamp(8, 4096) / 4 * 4
+}
+
+/// Bytes that the placements of one page may take.
+pub fn page_room(value_kb: f64) -> f64 {
+    (value_kb * 1024.0 - REST_BYTES).max(value_kb * 256.0)
 }
 
 pub fn pack_bits(bits: &[bool]) -> String {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -11,7 +11,6 @@
 /// A report whose answer waits a moment for the commit that its launches need.
 pub struct Held {
     pub request: RequestId,
-    pub machine: String,
     pub until: Time,
     /// Its machine has nothing to do: the answer waits for a launch.
     pub idle: bool,
@@ -65,16 +64,22 @@
             info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
                   took_s = now - m.since, "machine up");
             l.plan_dirty = true;
-            for (_, image, gb, at) in l.cached.iter().filter(|c| c.0 == id) {
-                m.images.insert(image.clone(), (*at, *gb));
+            for (image, at, gb) in l.cached.remove(&id).unwrap_or_default() {
+                m.note_image(image, at, gb);
             }
         }
         m.answered = now;
         if self.take_report(&report, true) {
             if let Role::Leader(l) = &mut self.role {
-                let idle = report.tasks.is_empty() && l.machines.get(&id).is_some_and(Machine::takes_work);
+                let idle = report.tasks.iter().all(|t| t.state == TaskState::Exited)
+                    && l.machines.get(&id).is_some_and(Machine::takes_work);
                 let until = now + if idle { idle_hold } else { hold };
-                l.held.push(Held { request: req, machine: id, until, idle });
+                l.recheck.insert(id.clone());
+                let older = l.held.insert(id, Held { request: req, until, idle });
+                // Its worker has given that one up.
+                if let Some(h) = older {
+                    self.refuse(h.request, 503, "a newer report came");
+                }
             }
         } else {
             // Late: its sender has given it up, and its tasks are as old as it.
@@ -152,23 +157,16 @@
                 None => {}
             }
         }
-        for (id, job) in &mut l.jobs {
-            let gone: Vec<(u32, bool)> = job
-                .places
-                .iter()
-                .filter(|(_, p)| p.machine == report.machine)
-                .filter(|(task, p)| !Self::reported(report, id, **task, p))
-                .filter(|(_, p)| {
-                    settled && (p.seen.is_some() || p.inherited || p.stopping.is_some() && p.sent)
-                })
-                .map(|(&t, p)| (t, p.seen.is_some()))
-                .collect();
-            for (task, was_there) in gone {
-                if was_there {
+        for (id, task) in l.tasks_on(&report.machine) {
+            let Some(job) = l.jobs.get_mut(&id) else { continue };
+            let Some(p) = job.places.get(&task) else { continue };
+            let proof = settled && (p.seen.is_some() || p.inherited || p.stopping.is_some() && p.sent);
+            if proof && !Self::reported(report, &id, task, p) {
+                if p.seen.is_some() {
                     info!(job = %id, task, machine = %report.machine, "task is gone");
                 }
                 lose(job, task);
-                touched.push(id.clone());
+                touched.push(id);
             }
         }
         if !touched.is_empty() || !exits.is_empty() {
@@ -201,9 +199,10 @@
         let now = self.now;
         let Role::Leader(l) = &mut self.role else { return };
         let mut stopped = Vec::new();
-        for (id, job) in &mut l.jobs {
+        for (id, task) in l.tasks_on(machine) {
+            let Some(job) = l.jobs.get_mut(&id) else { continue };
             let grace = job.spec.save_s * 1.25;
-            let here = job.places.values().any(|p| p.machine == machine && p.running_since.is_some());
+            let here = job.places.get(&task).is_some_and(|p| p.running_since.is_some());
             let can = job.spec.checkpoint_s > 0.0 && job.spec.shape == Shape::Gang && !job.is_final();
             if !here || !can || grace > notice_s || job.places.values().any(|p| p.stopping.is_some()) {
                 continue;
@@ -211,7 +210,7 @@
             for p in job.places.values_mut() {
                 p.stopping = Some((now, grace));
             }
-            stopped.push(id.clone());
+            stopped.push(id);
         }
         for id in stopped {
             self.stop_now(&id);
@@ -321,47 +320,64 @@
         }
     }
 
-    /// Answers held reports whose machine has nothing left to be committed.
+    /// Answers held reports that have something to tell, or whose time is over.
     pub(crate) fn release_held(&mut self) {
         let now = self.now;
+        let scan_s = self.d.tick_s / 50.0;
         let Role::Leader(l) = &mut self.role else { return };
-        if l.held.is_empty() {
-            return;
+        let mut names = std::mem::take(&mut l.recheck);
+        if now >= l.held_scan {
+            l.held_scan = now + scan_s;
+            // Few wait for a plan or a commit at a time; the idle ones wait
+            // for their time only, unless something was placed there.
+            names.extend(l.held.iter().filter(|(_, h)| !h.idle || now >= h.until).map(|(m, _)| m.clone()));
+        }
+        for machine in names {
+            let Role::Leader(l) = &mut self.role else { return };
+            let Some(h) = l.held.get(&machine) else { continue };
+            let (over, idle, request) = (now >= h.until, h.idle, h.request);
+            if !over && self.waits(&machine, idle) {
+                continue;
+            }
+            let Role::Leader(l) = &mut self.role else { return };
+            l.held.remove(&machine);
+            let answer = self.commands_for(&machine);
+            self.answer(request, 200, wire::encode(&answer));
         }
-        let held = std::mem::take(&mut l.held);
-        let (mut ready, mut waiting) = (Vec::new(), Vec::new());
-        for h in held {
-            let open = l
-                .jobs
-                .values()
-                .any(|j| !j.clean() && j.places.values().any(|p| p.machine == h.machine && !p.committed))
-                || l.machines.get(&h.machine).is_some_and(|m| {
-                    m.tasks.iter().any(|t| {
-                        t.state == TaskState::Exited
-                            && split_task(&t.task)
-                                .and_then(|(id, _)| l.jobs.get(id))
-                                .is_some_and(|j| !j.clean())
-                    })
-                });
-            let launch = || {
-                l.jobs.values().any(|j| {
-                    !j.is_final()
-                        && j.places
-                            .values()
-                            .any(|p| p.machine == h.machine && p.committed && p.seen.is_none())
-                })
-            };
-            let wait = open || h.idle && !launch();
-            if wait && now < h.until {
-                waiting.push(h);
-            } else {
-                ready.push(h);
+    }
+
+    /// Whether a held report has reason to wait on.
+    fn waits(&mut self, machine: &str, idle: bool) -> bool {
+        let entitled = self.entitled();
+        let write_ahead = self.guards.write_ahead;
+        let Role::Leader(l) = &mut self.role else { return false };
+        let mut launch = false;
+        for (id, task) in l.tasks_on(machine) {
+            let Some(job) = l.jobs.get(&id) else { continue };
+            let Some(p) = job.places.get(&task) else { continue };
+            if !p.committed && write_ahead {
+                return true;
+            }
+            launch |= p.seen.is_none() && !job.is_final() && entitled;
+        }
+        let Some(m) = l.machines.get(machine) else { return false };
+        let mut forget = false;
+        for t in m.tasks.iter().filter(|t| t.state == TaskState::Exited) {
+            let job = split_task(&t.task).and_then(|(id, n)| Some((l.jobs.get(id)?, n)));
+            match job {
+                // Its end is about to be stored, and its place is then free
+                // for another attempt.
+                Some((j, n)) if j.pressing && !j.outcome_stored(n) => return true,
+                Some((j, n)) => forget |= j.outcome_stored(n),
+                None => forget = true,
             }
         }
-        l.held = waiting;
-        for h in ready {
-            let answer = self.commands_for(&h.machine);
-            self.answer(h.request, 200, wire::encode(&answer));
+        // A place that has just come free may be given anew by the next plan.
+        let planning = l.plan_dirty && m.takes_work();
+        if idle {
+            !(launch || forget)
+        } else {
+            planning
         }
     }
 
@@ -383,7 +399,7 @@
             match (t.state, place) {
                 // Cleared only once its outcome is stored and its placement
                 // gone from the record.
-                (TaskState::Exited, None) if job.is_none_or(Job::clean) => {
+                (TaskState::Exited, None) if job.is_none_or(|j| j.outcome_stored(number)) => {
                     commands.push(command(Verb::Forget, None));
                 }
                 (TaskState::Exited, _) => {}
@@ -396,25 +412,15 @@
             }
         }
         if entitled {
-            for (id, job) in &mut l.jobs {
-                if job.is_final() {
-                    continue;
-                }
-                for (&task, p) in job.places.iter_mut() {
-                    let due = p.machine == machine
-                        && (p.committed || !write_ahead)
-                        && !p.inherited
-                        && p.seen.is_none()
-                        && p.stopping.is_none();
-                    if due {
-                        p.sent = true;
-                        commands.push(Command {
-                            op: Verb::Start,
-                            task: task_name(id, task),
-                            attempt: p.attempt,
-                            grace_s: None,
-                        });
-                    }
+            for (id, task) in l.tasks_on(machine) {
+                let Some(job) = l.jobs.get_mut(&id).filter(|j| !j.is_final()) else { continue };
+                let Some(p) = job.places.get_mut(&task) else { continue };
+                let due =
+                    (p.committed || !write_ahead) && !p.inherited && p.seen.is_none() && p.stopping.is_none();
+                if due {
+                    p.sent = true;
+                    let (op, task, grace_s) = (Verb::Start, task_name(&id, task), None);
+                    commands.push(Command { op, task, attempt: p.attempt, grace_s });
                 }
             }
         }
@@ -432,6 +438,9 @@
         if !l.loaded {
             return;
         }
+        for id in l.jobs.keys().cloned().collect::<Vec<_>>() {
+            l.index_job(&id);
+        }
         for p in l.jobs.values().flat_map(|j| j.places.values()) {
             let m = l.machines.entry(p.machine.clone()).or_insert_with(|| {
                 let mut m = Machine::new(&p.machine, "", "", false, now);
@@ -533,14 +542,10 @@
     pub(crate) fn lose_machine(&mut self, machine: &str, remove: bool) {
         let Role::Leader(l) = &mut self.role else { return };
         let mut touched = Vec::new();
-        for (id, job) in &mut l.jobs {
-            let lost: Vec<u32> =
-                job.places.iter().filter(|(_, p)| p.machine == machine).map(|(&t, _)| t).collect();
-            for t in &lost {
-                lose(job, *t);
-            }
-            if !lost.is_empty() {
-                touched.push(id.clone());
+        for (id, task) in l.tasks_on(machine) {
+            if let Some(job) = l.jobs.get_mut(&id) {
+                lose(job, task);
+                touched.push(id);
             }
         }
         if remove {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,7 +1,8 @@
 //! Cura's planner as a pure function: jobs that wait, machines as they are,
 //! and out of them reservations, of which those starting now are launched.
 
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
 
 /// What a task takes, or a machine has.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -85,7 +86,7 @@
     pub free: Amounts,
     pub busy: Vec<Busy>,
     /// Images it is known to hold or to be fetching.
-    pub images: Vec<String>,
+    pub images: Vec<u32>,
     /// Learned run time ratio of this machine, 1 when nothing is known.
     pub slowness: f64,
 }
@@ -107,7 +108,8 @@
     pub needs: Amounts,
     /// Run time expected of a task.
     pub run_s: f64,
-    pub image: String,
+    /// The caller's own number of its image.
+    pub image: u32,
     pub image_gb: f64,
     /// Allowed machine types, by index.
     pub kinds: Vec<usize>,
@@ -191,6 +193,8 @@
     timely: u32,
     /// Running work to be stopped for more urgent jobs.
     pub stops: Vec<usize>,
+    /// What the plan took: looks at a machine or at a job.
+    pub steps: u64,
 }
 
 /// A configuration of a job on a type: machine price per task and second.
@@ -221,54 +225,99 @@
 /// the deadline only by more machines costs their fetches too; a job that
 /// cannot meet it at all is bought elsewhere at twice its cost.
 pub fn pair_cost(now: f64, types: &[Type], first: &Job, second: &Job) -> f64 {
-    let (cost_first, end) = run_cost(now, types, first);
-    let (cost_second, _) = run_cost(end, types, second);
+    let (cost_first, end) = Costs::of(types, first).at(now);
+    let (cost_second, _) = Costs::of(types, second).at(end);
     cost_first + cost_second
 }
 
-/// Cheapest cost of starting `job` at `start`, and when it ends.
-fn run_cost(start: f64, types: &[Type], job: &Job) -> (f64, f64) {
-    let tasks = job.waiting.len() as f64;
-    let mut fallback = (f64::MAX, start);
-    for (k, price) in configurations(types, job) {
-        let t = &types[k];
-        let fetch = if t.fetch_gb_per_s > 0.0 { job.image_gb / t.fetch_gb_per_s } else { 0.0 };
-        let end = start + fetch + job.run_s;
-        let cost = (tasks * job.run_s + fetch) * price;
-        if end <= job.deadline {
-            return (cost, end);
+/// What a job's run costs by when it starts, worked out once per plan: the
+/// cheapest configuration still in time, so a step function of the start.
+struct Costs {
+    /// Latest start for which a configuration is the cheapest one in time,
+    /// its cost and how long it takes; latest starts rise.
+    steps: Vec<(f64, f64, f64)>,
+    /// Cost and duration when none is in time any more.
+    late: (f64, f64),
+}
+
+impl Costs {
+    fn of(types: &[Type], job: &Job) -> Costs {
+        let tasks = job.waiting.len() as f64;
+        let mut steps: Vec<(f64, f64, f64)> = Vec::new();
+        let mut late = (f64::MAX, 0.0);
+        for (k, price) in configurations(types, job) {
+            let t = &types[k];
+            let fetch = if t.fetch_gb_per_s > 0.0 { job.image_gb / t.fetch_gb_per_s } else { 0.0 };
+            let takes = fetch + job.run_s;
+            let cost = (tasks * job.run_s + fetch) * price;
+            let latest = job.deadline - takes;
+            if steps.last().is_none_or(|s| latest > s.0) {
+                steps.push((latest, cost, takes));
+            }
+            if 2.0 * cost < late.0 {
+                late = (2.0 * cost, takes);
+            }
         }
-        if 2.0 * cost < fallback.0 {
-            fallback = (2.0 * cost, end);
+        if late.0 == f64::MAX {
+            late = (0.0, 0.0);
         }
+        Costs { steps, late }
     }
-    if fallback.0 == f64::MAX {
-        (0.0, start)
-    } else {
-        fallback
+
+    /// Cost of a start at that time, and the run's end.
+    fn at(&self, start: f64) -> (f64, f64) {
+        let step = self.steps.iter().find(|s| start <= s.0);
+        let (cost, takes) = step.map_or(self.late, |s| (s.1, s.2));
+        (cost, start + takes)
     }
 }
 
-/// Sum over all others of what deferring `job` behind them costs.
-fn deferral(types: &[Type], ends: &[(f64, f64)], jobs: &[Job], among: &[usize], i: usize) -> f64 {
-    let (own, own_end) = ends[i];
-    among
-        .iter()
-        .filter(|&&j| j != i)
-        .map(|&j| {
-            let (other, other_end) = ends[j];
-            // pair_cost(j, i) - pair_cost(i, j), with both first runs known
-            let behind = run_cost(other_end, types, &jobs[i]).0 + other;
-            let ahead = run_cost(own_end, types, &jobs[j]).0 + own;
-            behind - ahead
+/// Every job's deferral: the sum, over all others, of `pair_cost(other, job) -
+/// pair_cost(job, other)`. Costs are step functions of the start, so each sum
+/// is taken over sorted ends and steps, in n log n instead of n squared; a
+/// flood of jobs then needs no cut-off. A test compares it with the plain sum.
+pub fn deferrals(now: f64, types: &[Type], jobs: &[Job]) -> Vec<f64> {
+    let costs: Vec<Costs> = jobs.iter().map(|j| Costs::of(types, j)).collect();
+    let first: Vec<(f64, f64)> = costs.iter().map(|c| c.at(now)).collect();
+    let mut ends: Vec<f64> = first.iter().map(|f| f.1).collect();
+    ends.sort_by(f64::total_cmp);
+    let total: f64 = first.iter().map(|f| f.0).sum();
+    // The sum of all jobs' costs as one step function: what it begins with,
+    // and by how much it has risen behind each latest start.
+    let begin: f64 = costs.iter().map(|c| c.at(f64::MIN).0).sum();
+    let mut rises: Vec<(f64, f64)> = Vec::new();
+    for c in &costs {
+        for (k, s) in c.steps.iter().enumerate() {
+            let next = c.steps.get(k + 1).map_or(c.late.0, |n| n.1);
+            rises.push((s.0, next - s.1));
+        }
+    }
+    rises.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut sum = begin;
+    for r in &mut rises {
+        sum += r.1;
+        r.1 = sum;
+    }
+    let n = jobs.len() as f64;
+    (0..jobs.len())
+        .map(|i| {
+            let (own, own_end) = first[i];
+            // This job behind each of all, itself included (taken off below).
+            let (mut behind, mut before) = (0.0, 0);
+            for s in &costs[i].steps {
+                let upto = ends.partition_point(|e| *e <= s.0);
+                behind += (upto - before) as f64 * s.1;
+                before = upto;
+            }
+            behind += (ends.len() - before) as f64 * costs[i].late.0;
+            // Each of all behind this job, itself included: the same term.
+            let at = rises.partition_point(|r| r.0 < own_end);
+            let ahead = if at == 0 { begin } else { rises[at - 1].1 };
+            behind - ahead + total - n * own
         })
-        .sum()
+        .collect()
 }
 
-/// More jobs than this are compared pairwise with the most pressing ones only,
-/// so that a flood cannot eat the processor.
-const PAIRWISE: usize = 64;
-
 /// Part of its machines that a band really gets: some time goes into fetches,
 /// reports and stops.
 const ATTAINED: f64 = 0.9;
@@ -292,22 +341,17 @@
         })
         .sum::<f64>()
         / (up.len().max(1) as f64);
+    let mut rooms: Vec<(Seen, Vec<(Amounts, f64)>)> = Vec::new();
     // Time that the job's waiting tasks take of all its machines together.
-    let work = |i: usize| {
+    let mut work = |i: usize| {
         let job = &p.jobs[i];
-        let slots: f64 = up
-            .iter()
-            .filter(|m| {
-                job.kinds.contains(&m.kind) && (!m.spot || job.spot) && job.zone.is_none_or(|z| z == m.zone)
-            })
-            .map(|m| {
-                let mut size = p.types[m.kind].size;
-                for b in m.busy.iter().filter(|b| b.band > job.band) {
-                    size.take(&b.takes);
-                }
-                f64::from(size.count(&job.needs))
-            })
-            .sum();
+        let seen = Seen { band: job.band, kinds: job.kinds.clone(), spot: job.spot, zone: job.zone };
+        let at = rooms.iter().position(|r| r.0 == seen).unwrap_or_else(|| {
+            let alike = room_of(p, &up, &seen);
+            rooms.push((seen, alike));
+            rooms.len() - 1
+        });
+        let slots: f64 = rooms[at].1.iter().map(|(room, n)| f64::from(room.count(&job.needs)) * n).sum();
         job.waiting.len() as f64 * job.run_s / slots.max(0.5)
     };
     let mut bands: Vec<u8> = p.jobs.iter().map(|j| j.band).collect();
@@ -319,20 +363,15 @@
         for level in 0..2u8 {
             let due = |i: usize| if level == 0 { p.jobs[i].deadline } else { p.jobs[i].last_chance };
             left.sort_by(|&a, &b| due(a).total_cmp(&due(b)).then(a.cmp(&b)));
-            let (mut kept, mut dropped): (Vec<(f64, usize)>, Vec<usize>) = (Vec::new(), Vec::new());
+            let (mut kept, mut dropped): (BinaryHeap<Load>, Vec<usize>) = (BinaryHeap::new(), Vec::new());
             let mut total = ahead;
             for i in left {
                 let w = work(i);
-                kept.push((w, i));
+                kept.push(Load(w, i));
                 total += w;
                 // Behind the queue, its own tasks take one run at least.
                 while p.now + (total - w).max(0.0) / ATTAINED + w.max(p.jobs[i].run_s) > due(i) {
-                    let Some(at) = (0..kept.len())
-                        .max_by(|&a, &b| kept[a].0.total_cmp(&kept[b].0).then(kept[a].1.cmp(&kept[b].1)))
-                    else {
-                        break;
-                    };
-                    let (w, gone) = kept.swap_remove(at);
+                    let Some(Load(w, gone)) = kept.pop() else { break };
                     total -= w;
                     dropped.push(gone);
                     if gone == i {
@@ -340,7 +379,7 @@
                     }
                 }
             }
-            for &(_, i) in &kept {
+            for &Load(_, i) in &kept {
                 tier[i] = level;
             }
             ahead = total;
@@ -350,6 +389,56 @@
     tier
 }
 
+/// Which machines a job can have, as far as its room in time depends on it.
+#[derive(PartialEq)]
+struct Seen {
+    band: u8,
+    kinds: Vec<usize>,
+    spot: bool,
+    zone: Option<usize>,
+}
+
+/// Room that work of a band may count on, as sizes and how many machines have
+/// each: most machines are alike, so a job need not look at every one.
+fn room_of(p: &Problem, up: &[&Machine], seen: &Seen) -> Vec<(Amounts, f64)> {
+    let mut alike: Vec<(Amounts, f64)> = Vec::new();
+    for m in up {
+        let out = !seen.kinds.contains(&m.kind) || (m.spot && !seen.spot);
+        if out || seen.zone.is_some_and(|z| z != m.zone) {
+            continue;
+        }
+        let mut size = p.types[m.kind].size;
+        for b in m.busy.iter().filter(|b| b.band > seen.band) {
+            size.take(&b.takes);
+        }
+        match alike.iter_mut().find(|a| a.0 == size) {
+            Some(a) => a.1 += 1.0,
+            None => alike.push((size, 1.0)),
+        }
+    }
+    alike
+}
+
+/// A job's work, the largest first.
+struct Load(f64, usize);
+
+impl PartialEq for Load {
+    fn eq(&self, o: &Self) -> bool {
+        self.cmp(o) == Ordering::Equal
+    }
+}
+impl Eq for Load {}
+impl PartialOrd for Load {
+    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Load {
+    fn cmp(&self, o: &Self) -> Ordering {
+        self.0.total_cmp(&o.0).then(self.1.cmp(&o.1))
+    }
+}
+
 /// Part of a machine that `takes` holds.
 fn share(takes: &Amounts, size: &Amounts) -> f64 {
     (takes.cores / size.cores.max(SLACK))
@@ -361,16 +450,16 @@
 /// that a guarantee covers, then jobs that can still meet their deadline, then
 /// the summed pairwise deferral cost, then the earlier deadline.
 pub fn order(p: &Problem) -> Vec<usize> {
-    let ends: Vec<(f64, f64)> = p.jobs.iter().map(|j| run_cost(p.now, &p.types, j)).collect();
     let mut all: Vec<usize> = (0..p.jobs.len()).collect();
     all.sort_by(|&a, &b| p.jobs[a].deadline.total_cmp(&p.jobs[b].deadline).then(a.cmp(&b)));
-    let among: Vec<usize> = all.iter().copied().take(PAIRWISE).collect();
-    let cost: Vec<f64> = (0..p.jobs.len()).map(|i| deferral(&p.types, &ends, &p.jobs, &among, i)).collect();
+    let cost = deferrals(p.now, &p.types, &p.jobs);
     let tier = tiers(p, &all);
     // In a band that cannot do everything in time, those that can are served
     // in the order that this was judged by.
-    let crowded = |band: u8| (0..p.jobs.len()).any(|i| p.jobs[i].band == band && tier[i] > 0);
-    let crowded: Vec<bool> = (0..=u8::MAX).map(crowded).collect();
+    let mut crowded = [false; 1 + u8::MAX as usize];
+    for (job, tier) in p.jobs.iter().zip(&tier) {
+        crowded[job.band as usize] |= *tier > 0;
+    }
     all.sort_by(|&a, &b| {
         let (x, y) = (&p.jobs[a], &p.jobs[b]);
         y.band
@@ -395,13 +484,26 @@
     busy: Vec<Busy>,
     /// Reserved for a job of higher priority from `start` on.
     reserved: Vec<(f64, Amounts)>,
+    /// What is left of the machine for good once running work has ended.
+    rest: Amounts,
+    /// The latest start of a reservation.
+    last: f64,
 }
 
 impl Slot {
+    /// Nothing that needs `least` or more and runs `run` or longer fits here
+    /// any more, now or later.
+    fn closed(&self, now: f64, least: &Amounts, run: f64) -> bool {
+        !self.rest.holds(least) && (self.reserved.is_empty() || now + run > self.last)
+    }
+
     /// Earliest time at which `need` fits, for a run of `run` seconds.
     fn earliest(&self, now: f64, ready: f64, need: &Amounts, run: f64) -> Option<f64> {
-        let mut free = self.free;
         let mut at = now.max(ready);
+        if self.closed(at, need, run) {
+            return None;
+        }
+        let mut free = self.free;
         let mut next = 0;
         loop {
             while next < self.busy.len() && self.busy[next].end <= at {
@@ -437,6 +539,28 @@
     rank: (f64, f64),
 }
 
+/// The better option is the smaller one: earlier, then by rank.
+impl Ord for Option1 {
+    fn cmp(&self, o: &Self) -> Ordering {
+        self.at
+            .total_cmp(&o.at)
+            .then(self.rank.0.total_cmp(&o.rank.0))
+            .then(self.rank.1.total_cmp(&o.rank.1))
+            .then(self.machine.cmp(&o.machine))
+    }
+}
+impl PartialOrd for Option1 {
+    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl PartialEq for Option1 {
+    fn eq(&self, o: &Self) -> bool {
+        self.cmp(o) == Ordering::Equal
+    }
+}
+impl Eq for Option1 {}
+
 /// A gang's best configuration so far; the smaller key is the better one.
 struct GangChoice {
     key: (bool, bool, f64, f64),
@@ -446,13 +570,55 @@
     end: f64,
 }
 
+/// A job that found no place. Places only become fewer while a plan is made,
+/// so a job that asks for as much or more finds none either: under a backlog
+/// most jobs are passed over without a look at the machines.
+struct Barrier {
+    shape: Shape,
+    band: u8,
+    needs: Amounts,
+    tasks: usize,
+    /// At least what its run takes on any machine, fetch included.
+    run_s: f64,
+    kinds: Vec<usize>,
+    spot: bool,
+    zone: Option<usize>,
+    one_zone: bool,
+}
+
+impl Barrier {
+    fn stops(&self, job: &Job) -> bool {
+        let gang = job.shape == Shape::Gang;
+        gang == (self.shape == Shape::Gang)
+            && job.band <= self.band
+            && job.needs.holds(&self.needs)
+            && (!gang || job.waiting.len() >= self.tasks)
+            && job.run_s >= self.run_s
+            && (self.spot || !job.spot)
+            && self.zone.is_none_or(|z| job.zone == Some(z))
+            && (!self.one_zone || job.one_zone)
+            && job.kinds.iter().all(|k| self.kinds.contains(k))
+    }
+}
+
 struct Planner<'a> {
     p: &'a Problem,
     slots: Vec<Slot>,
     teams: Vec<Team>,
-    images: Vec<Vec<String>>,
+    images: Vec<Vec<u32>>,
+    /// Machines where some job may still find a place.
+    open: Vec<usize>,
+    /// The least that any job needs and how long the shortest runs.
+    least: (Amounts, f64),
+    barriers: Vec<Barrier>,
+    /// Looks at a machine for a job, as a measure of the effort.
+    steps: u64,
 }
 
+/// More barriers than this are not kept; looking through them has to stay
+/// cheaper than what they save.
+const MOST_BARRIERS: usize = 24;
+
 impl<'a> Planner<'a> {
     fn new(p: &'a Problem) -> Self {
         let slots = p
@@ -461,14 +627,54 @@
             .map(|m| {
                 let mut busy = m.busy.clone();
                 busy.sort_by(|a, b| a.end.total_cmp(&b.end));
-                Slot { free: m.free, busy, reserved: Vec::new() }
+                let mut rest = m.free;
+                busy.iter().for_each(|b| rest.give(&b.takes));
+                Slot { free: m.free, busy, reserved: Vec::new(), rest, last: 0.0 }
             })
             .collect();
+        let mut least = (Amounts::new(f64::MAX, f64::MAX, f64::MAX), f64::MAX);
+        for j in &p.jobs {
+            least.0.cores = least.0.cores.min(j.needs.cores);
+            least.0.accelerators = least.0.accelerators.min(j.needs.accelerators);
+            least.0.memory_gb = least.0.memory_gb.min(j.needs.memory_gb);
+            least.1 = least.1.min(j.run_s);
+        }
+        least.1 *= p.machines.iter().map(|m| m.slowness).fold(1.0, f64::min);
         Planner {
             p,
             slots,
             teams: p.teams.clone(),
             images: p.machines.iter().map(|m| m.images.clone()).collect(),
+            open: (0..p.machines.len()).collect(),
+            least,
+            barriers: Vec::new(),
+            steps: 0,
+        }
+    }
+
+    /// Forgets the machines that nobody can get any more.
+    fn prune(&mut self) {
+        let (now, slots, (least, run)) = (self.p.now, &self.slots, &self.least);
+        self.open.retain(|&m| !slots[m].closed(now, least, *run));
+    }
+
+    fn bar(&mut self, job: &Job) {
+        // An array bound to a zone looks into the one where it runs already.
+        let bound = job.one_zone && job.shape != Shape::Gang;
+        if self.barriers.len() < MOST_BARRIERS && job.zone_cap.is_none() && !bound {
+            let slowest = self.p.types.iter().map(|t| t.fetch_gb_per_s).filter(|r| *r > 0.0);
+            let fetch = job.image_gb / slowest.fold(f64::MAX, f64::min);
+            self.barriers.push(Barrier {
+                shape: job.shape,
+                band: job.band,
+                needs: job.needs,
+                tasks: job.waiting.len(),
+                run_s: job.run_s + fetch,
+                kinds: job.kinds.clone(),
+                spot: job.spot,
+                zone: job.zone,
+                one_zone: job.one_zone,
+            });
         }
     }
 
@@ -527,7 +733,7 @@
             let place = busy.partition_point(|b| b.end <= end);
             busy.insert(place, Busy { end, takes: job.needs, band: job.band, victim: None });
             if !self.images[m].contains(&job.image) {
-                self.images[m].push(job.image.clone());
+                self.images[m].push(job.image);
             }
             let t = &mut self.teams[job.team];
             if let Some(x) = &mut t.cores_left {
@@ -537,37 +743,35 @@
                 *x -= job.needs.accelerators;
             }
         } else {
-            self.slots[m].reserved.push((at, job.needs));
+            let slot = &mut self.slots[m];
+            slot.reserved.push((at, job.needs));
+            slot.rest.take(&job.needs);
+            slot.last = slot.last.max(at);
         }
     }
 
-    /// Options for every machine, best first. `start` decides before cost
-    /// only for starts later than now.
-    fn options(&self, job: &Job, kind: Option<usize>, zone: Option<usize>) -> Vec<Option1> {
-        let mut list: Vec<Option1> = (0..self.p.machines.len())
-            .filter(|&m| kind.is_none_or(|k| self.p.machines[m].kind == k))
-            .filter(|&m| zone.is_none_or(|z| self.p.machines[m].zone == z))
-            .filter_map(|m| self.option(job, m))
-            .collect();
-        list.sort_by(|a, b| {
-            a.at.total_cmp(&b.at)
-                .then(a.rank.0.total_cmp(&b.rank.0))
-                .then(a.rank.1.total_cmp(&b.rank.1))
-                .then(a.machine.cmp(&b.machine))
-        });
-        list
+    /// Options on every machine of `kind` and `zone`, in no order.
+    fn options(&mut self, job: &Job, kind: Option<usize>, zone: Option<usize>) -> Vec<Option1> {
+        self.steps += self.open.len() as u64;
+        self.open
+            .iter()
+            .filter(|&&m| kind.is_none_or(|k| self.p.machines[m].kind == k))
+            .filter(|&&m| zone.is_none_or(|z| self.p.machines[m].zone == z))
+            .filter_map(|&m| self.option(job, m))
+            .collect()
     }
 
     /// Places for `n` gang tasks at once: on distinct capacity, in one zone
     /// if asked for, none over the zone cap. Returns machines and the start.
     fn gang_places(
-        &self,
+        &mut self,
         job: &Job,
         n: usize,
         kind: Option<usize>,
         zone: Option<usize>,
     ) -> Option<(Vec<usize>, f64)> {
-        let options = self.options(job, kind, zone);
+        let mut options = self.options(job, kind, zone);
+        options.sort_unstable();
         let mut load = job.zone_load.clone();
         load.resize(self.p.zones, 0);
         let mut chosen = Vec::with_capacity(n);
@@ -598,32 +802,45 @@
         if job.not_before > self.p.now || job.waiting.is_empty() {
             return None;
         }
+        self.steps += 1;
+        if self.barriers.iter().any(|b| b.stops(job)) {
+            return None;
+        }
         match job.shape {
             Shape::Gang => self.reserve_gang(i, windows, plan),
             Shape::Array | Shape::Service => self.reserve_tasks(i, windows, plan),
         }
     }
 
+    /// Whether a start at `soonest` lies inside the window of any type that
+    /// the job may use.
+    fn reachable(&self, windows: &[Option<f64>], job: &Job, soonest: f64) -> bool {
+        soonest < f64::MAX && job.kinds.iter().any(|&k| self.inside(windows, k, soonest))
+    }
+
     fn inside(&self, windows: &[Option<f64>], kind: usize, start: f64) -> bool {
         start <= self.p.now || windows[kind].is_none_or(|w| start <= w)
     }
 
     fn reserve_gang(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
-        let job = self.p.jobs[i].clone();
+        let p = self.p;
+        let job = &p.jobs[i];
         let n = job.waiting.len();
-        if !self.team_allows(&job, n as u32) {
+        if !self.team_allows(job, n as u32) {
             return None;
         }
+        let mut soonest = f64::MAX;
         // A configuration that meets the deadline beats one that does not; of
         // those that do, a start now beats a later one and then the cheapest
         // wins; if none does, the one that ends first.
         let mut best: Option<GangChoice> = None;
-        for (kind, price) in configurations(&self.p.types, &job) {
+        for (kind, price) in configurations(&p.types, job) {
             let zones: Vec<Option<usize>> =
                 if job.one_zone { (0..self.p.zones).map(Some).collect() } else { vec![None] };
             for zone in zones {
-                let Some((machines, start)) = self.gang_places(&job, n, Some(kind), zone) else { continue };
-                let fetch = machines.iter().map(|&m| self.fetch_s(&job, m)).fold(0.0, f64::max);
+                let Some((machines, start)) = self.gang_places(job, n, Some(kind), zone) else { continue };
+                soonest = soonest.min(start);
+                let fetch = machines.iter().map(|&m| self.fetch_s(job, m)).fold(0.0, f64::max);
                 let slow = machines.iter().map(|&m| self.p.machines[m].slowness).fold(1.0, f64::max);
                 let end = start + fetch + job.run_s * slow;
                 let late = end > job.deadline;
@@ -645,6 +862,9 @@
                 return Some(r);
             }
         }
+        if soonest > patience && !self.reachable(windows, job, soonest) {
+            self.bar(job);
+        }
         let GangChoice { kind, machines, start, end, .. } = best?;
         if !self.inside(windows, kind, start) {
             return None;
@@ -653,20 +873,23 @@
             if start <= self.p.now {
                 plan.starts.push(Start { job: i, task: job.waiting[slot], machine: m });
             }
-            self.occupy(&job, m, start, end);
+            self.occupy(job, m, start, end);
         }
+        self.prune();
         Some(Reservation { job: i, kind, start, end, decides: false })
     }
 
     /// Has less urgent work stopped where that costs least, and reserves the
     /// places that come free for gang `i` (an exception: Cura stops nothing).
     fn reserve_by_stopping(&mut self, i: usize, plan: &mut Plan) -> Option<Reservation> {
-        let job = self.p.jobs[i].clone();
+        let p = self.p;
+        let job = &p.jobs[i];
         let n = job.waiting.len();
         let mut options: Vec<(f64, usize, f64, Vec<usize>)> = Vec::new();
-        for m in 0..self.p.machines.len() {
-            let machine = &self.p.machines[m];
-            if !self.allowed(&job, m) || machine.ready > self.p.now || !self.slots[m].reserved.is_empty() {
+        self.steps += self.open.len() as u64;
+        for &m in &self.open {
+            let machine = &p.machines[m];
+            if !self.allowed(job, m) || machine.ready > p.now || !self.slots[m].reserved.is_empty() {
                 continue;
             }
             let mut victims: Vec<(usize, Victim, Amounts)> = self.slots[m]
@@ -690,7 +913,7 @@
             }
             if free.holds(&job.needs) {
                 // An image at hand is worth its fetch on the whole machine.
-                options.push((lost + stop + 2.0 * self.fetch_s(&job, m), m, stop, chosen));
+                options.push((lost + stop + 2.0 * self.fetch_s(job, m), m, stop, chosen));
             }
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -715,10 +938,8 @@
             }
         }
         let (_, picked) = best?;
-        if !self.team_allows(&job, n as u32) {
-            return None;
-        }
         let (mut start, mut end) = (self.p.now, self.p.now);
+        let kind = picked.first().map_or(0, |&at| p.machines[options[at].1].kind);
         for at in picked {
             let (_, m, stop, chosen) = options[at].clone();
             let begin = self.p.now + stop.max(SLACK);
@@ -733,41 +954,58 @@
                 taken.end = begin;
             }
             self.slots[m].busy.sort_by(|a, b| a.end.total_cmp(&b.end));
-            let fetch = self.fetch_s(&job, m);
+            let fetch = self.fetch_s(job, m);
             start = start.max(begin);
             end = end.max(begin + fetch + job.run_s);
-            self.occupy(&job, m, begin, begin + fetch + job.run_s);
+            self.occupy(job, m, begin, begin + fetch + job.run_s);
         }
-        let kind = self.p.machines[options[0].1].kind;
+        self.prune();
         Some(Reservation { job: i, kind, start, end, decides: false })
     }
 
     fn reserve_tasks(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
-        let job = self.p.jobs[i].clone();
+        let p = self.p;
+        let job = &p.jobs[i];
+        if !self.team_allows(job, 1) {
+            return None;
+        }
         let mut load = job.zone_load.clone();
-        load.resize(self.p.zones, 0);
+        load.resize(p.zones, 0);
         let mut zone = if job.one_zone {
             let held = load.iter().position(|&n| n > 0);
-            held.or_else(|| self.best_zone(&job))
+            held.or_else(|| self.best_zone(job))
         } else {
             None
         };
         let mut span: Option<Reservation> = None;
+        // The tasks are alike and taking a place changes one machine's option
+        // only, so the machines are looked at once, not once for every task.
+        let mut heap: BinaryHeap<Reverse<Option1>> =
+            self.options(job, None, zone).into_iter().map(Reverse).collect();
         for &task in &job.waiting {
-            if !self.team_allows(&job, 1) {
+            if !self.team_allows(job, 1) {
                 break;
             }
-            let found = self
-                .options(&job, None, zone)
-                .into_iter()
-                .find(|o| job.zone_cap.is_none_or(|c| load[self.p.machines[o.machine].zone] < c));
+            let found = loop {
+                let Some(Reverse(o)) = heap.pop() else { break None };
+                let z = p.machines[o.machine].zone;
+                if zone.is_none_or(|only| only == z) && job.zone_cap.is_none_or(|c| load[z] < c) {
+                    break Some(o);
+                }
+            };
+            if span.is_none() {
+                let soonest = found.map_or(f64::MAX, |o| o.at);
+                if !self.reachable(windows, job, soonest) {
+                    self.bar(job);
+                }
+            }
             let Some(o) = found else { break };
-            let machine = &self.p.machines[o.machine];
+            let machine = &p.machines[o.machine];
             if !self.inside(windows, machine.kind, o.at) {
                 break;
             }
-            let end = o.at + self.fetch_s(&job, o.machine) + job.run_s * machine.slowness;
-            if o.at <= self.p.now {
+            let end = o.at + self.fetch_s(job, o.machine) + job.run_s * machine.slowness;
+            if o.at <= p.now {
                 plan.starts.push(Start { job: i, task, machine: o.machine });
             }
             load[machine.zone] += 1;
@@ -775,21 +1013,27 @@
                 zone = Some(machine.zone);
             }
             let kind = machine.kind;
-            self.occupy(&job, o.machine, o.at, end);
+            self.occupy(job, o.machine, o.at, end);
+            self.steps += 1;
+            heap.extend(self.option(job, o.machine).map(Reverse));
             let r = span.get_or_insert(Reservation { job: i, kind, start: o.at, end, decides: false });
             r.start = r.start.min(o.at);
             r.end = r.end.max(end);
-            if o.at > self.p.now && end <= job.deadline {
+            if o.at > p.now && end <= job.deadline {
                 plan.timely += 1;
             }
         }
+        if span.is_some() {
+            self.prune();
+        }
         span
     }
 
     /// The zone that can take most of an array bound to one zone now.
     fn best_zone(&self, job: &Job) -> Option<usize> {
         let mut room = vec![0u32; self.p.zones];
-        for (m, machine) in self.p.machines.iter().enumerate() {
+        for &m in &self.open {
+            let machine = &self.p.machines[m];
             if self.allowed(job, m) && machine.ready <= self.p.now {
                 room[machine.zone] += self.slots[m].free.count(&job.needs);
             }
@@ -825,5 +1069,6 @@
             plan.unmet.push(Unmet { job: i, tasks: left, late: left.saturating_sub(plan.timely) });
         }
     }
+    plan.steps = planner.steps + p.machines.len() as u64 + p.jobs.len() as u64;
     plan
 }
--- a/crates/plan/tests/cura.rs
+++ b/crates/plan/tests/cura.rs
@@ -23,7 +23,7 @@
         ready: 0.0,
         free: types()[kind].size,
         busy: vec![],
-        images: vec!["i".into()],
+        images: vec![1],
         slowness: 1.0,
     }
 }
@@ -35,7 +35,7 @@
         waiting: (0..tasks).collect(),
         needs: Amounts::new(1.0, accelerators, 1.0),
         run_s,
-        image: "i".into(),
+        image: 1,
         image_gb: 0.0,
         kinds: vec![0, 1],
         zone: None,
