Stops go to each machine in one call, each once

Ruled out: user connections, records, watches. A stop for one lost gang member carried an old time and was never sent directly.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -25,6 +25,8 @@
     pub running_since: Option<Time>,
     /// Being stopped since then, with that grace.
     pub stopping: Option<(Time, f64)>,
+    /// The stop was sent straight to the machine.
+    pub told: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -131,6 +133,7 @@
                     placed_at: now,
                     running_since: None,
                     stopping: None,
+                    told: false,
                 },
             );
             self.attempt = self.attempt.max(p.attempt);
@@ -232,6 +235,7 @@
                 placed_at: now,
                 running_since: None,
                 stopping: None,
+                told: false,
             },
         );
     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -68,6 +68,8 @@
     /// Which tasks were placed on a machine. An entry may be outdated; looking
     /// there is what removes it (`tasks_on`).
     on: HashMap<String, BTreeSet<(String, u32)>>,
+    /// Jobs with tasks that are to be stopped and may not know it yet.
+    pub stops: BTreeSet<String>,
     /// Last look after machines, fleet and cloud.
     pub swept_at: Time,
     pub plan_dirty: bool,
@@ -114,6 +116,7 @@
             recheck: BTreeSet::new(),
             held_scan: now,
             on: HashMap::new(),
+            stops: BTreeSet::new(),
             swept_at: now - 1.0,
             plan_dirty: true,
             planned_at: now - 1.0,
@@ -386,6 +389,7 @@
             }
             self.commit_on_time();
             self.release_held();
+            self.send_stops();
         }
     }
 
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -396,14 +396,18 @@
 
     fn stop_for_others(&mut self, stops: &[usize], owners: &[(String, u32)]) {
         let now = self.now;
+        let Role::Leader(l) = &mut self.role else { return };
+        let mut told: BTreeMap<&String, u32> = BTreeMap::new();
         for (id, task) in stops.iter().filter_map(|&s| owners.get(s)) {
-            let Role::Leader(l) = &mut self.role else { return };
             let Some(job) = l.jobs.get_mut(id) else { continue };
             let grace = if job.spec.checkpoint_s > 0.0 { job.spec.save_s * 1.25 } else { 0.0 };
             let Some(p) = job.places.get_mut(task) else { continue };
             p.stopping = Some((now, grace));
-            info!(job = %id, task, machine = %p.machine, "stopped for more urgent work");
-            self.stop_now(id);
+            *told.entry(id).or_insert(0) += 1;
+            l.stops.insert(id.clone());
+        }
+        for (job, tasks) in told {
+            info!(%job, tasks, "stopped for more urgent work");
         }
     }
 
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -4,6 +4,7 @@
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
 use crate::{Core, Purpose, RequestId, StateOp, Time, WorkerReply};
+use std::collections::BTreeMap;
 use tracing::{info, warn};
 use wire::job::Shape;
 use wire::worker::*;
@@ -165,7 +166,7 @@
                 if p.seen.is_some() {
                     info!(job = %id, task, machine = %report.machine, "task is gone");
                 }
-                lose(job, task);
+                lose(job, task, now);
                 touched.push(id);
             }
         }
@@ -253,7 +254,7 @@
                         job.progress_s += (now - since).max(0.0) * 0.9;
                     }
                 }
-                lose(job, task);
+                lose(job, task, now);
             }
             Some(ExitCause::Error) => {
                 job.failures += 1;
@@ -261,7 +262,7 @@
                 let own_fault = job.failed_on.len() > JOB_AT_FAULT;
                 let pause = report_s * f64::from(1u32 << job.failures.min(5)) / 4.0;
                 job.not_before = if own_fault { now + pause } else { now };
-                lose(job, task);
+                lose(job, task, now);
                 warn!(job = %id, task, machine, "task failed");
                 if let Some(m) = l.machines.get_mut(machine) {
                     if !own_fault {
@@ -275,48 +276,53 @@
             }
             Some(ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown) => {
                 job.not_before = now + report_s / 3.0;
-                lose(job, task);
+                lose(job, task, now);
             }
             Some(ExitCause::Peers | ExitCause::Alone) | None => {
                 if let Some(since) = place.running_since.filter(|_| job.spec.checkpoint_s > 0.0) {
                     let ran = now - since;
                     job.progress_s += (ran / job.spec.checkpoint_s).floor() * job.spec.checkpoint_s;
                 }
-                lose(job, task);
+                lose(job, task, now);
             }
         }
     }
 
-    /// Sends the stops of a job's tasks straight to their machines; the
-    /// answers to reports repeat them.
+    /// Tasks of job `id` may be newly under a stop: `send_stops` looks there.
     pub(crate) fn stop_now(&mut self, id: &str) {
+        if let Role::Leader(l) = &mut self.role {
+            l.stops.insert(id.to_string());
+        }
+    }
+
+    /// Sends new stops straight to the machines, each machine's in one call; the
+    /// answers to reports repeat them. (One call a task, and all of a job's again
+    /// for every task, once opened thousands of connections within seconds.)
+    pub(crate) fn send_stops(&mut self) {
         let Role::Leader(l) = &mut self.role else { return };
         let token = l.token;
-        let Some(job) = l.jobs.get_mut(id) else { return };
-        let mut orders: Vec<(String, u64, DirectCommands)> = Vec::new();
-        for (&task, p) in job.places.iter_mut() {
-            let Some((since, grace)) = p.stopping else { continue };
-            if since != self.now || p.seen.is_none() {
-                continue;
+        let mut orders: BTreeMap<String, Vec<Command>> = BTreeMap::new();
+        for id in std::mem::take(&mut l.stops) {
+            let Some(job) = l.jobs.get_mut(&id) else { continue };
+            for (&task, p) in job.places.iter_mut() {
+                let Some((_, grace)) = p.stopping else { continue };
+                if p.told || p.seen.is_none() {
+                    continue;
+                }
+                p.told = true;
+                orders.entry(p.machine.clone()).or_default().push(Command {
+                    op: Verb::Stop,
+                    task: task_name(&id, task),
+                    attempt: p.attempt,
+                    grace_s: Some(grace),
+                });
             }
-            let Some(m) = l.machines.get(&p.machine).filter(|m| m.heard.is_some()) else { continue };
-            orders.push((
-                m.addr.clone(),
-                m.newest.0,
-                DirectCommands {
-                    token,
-                    session: m.newest.0,
-                    commands: vec![Command {
-                        op: Verb::Stop,
-                        task: task_name(id, task),
-                        attempt: p.attempt,
-                        grace_s: Some(grace),
-                    }],
-                },
-            ));
-        }
-        for (addr, _, body) in orders {
-            self.direct(token, &addr, body);
+        }
+        for (machine, commands) in orders {
+            let Role::Leader(l) = &self.role else { return };
+            let Some(m) = l.machines.get(&machine).filter(|m| m.heard.is_some()) else { continue };
+            let (addr, session) = (m.addr.clone(), m.newest.0);
+            self.direct(token, &addr, DirectCommands { token, session, commands });
         }
     }
 
@@ -540,11 +546,12 @@
 
     /// Every task of `machine` is surely gone.
     pub(crate) fn lose_machine(&mut self, machine: &str, remove: bool) {
+        let now = self.now;
         let Role::Leader(l) = &mut self.role else { return };
         let mut touched = Vec::new();
         for (id, task) in l.tasks_on(machine) {
             if let Some(job) = l.jobs.get_mut(&id) {
-                lose(job, task);
+                lose(job, task, now);
                 touched.push(id);
             }
         }
@@ -562,8 +569,7 @@
 }
 
 /// Releases a task's place without a result. A gang's attempt ends with it.
-pub(crate) fn lose(job: &mut Job, task: u32) {
-    let now = job.places.get(&task).map_or(0.0, |p| p.placed_at);
+pub(crate) fn lose(job: &mut Job, task: u32, now: Time) {
     job.release(task);
     if job.spec.shape == Shape::Gang && !job.places.is_empty() && !job.is_final() {
         job.aborting = true;
