No timer and one packet per message

Deadlines are now kept in a list looked at each tick; async-h1's decoder and encoder are used without its loop; head and body leave together.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 client with kept connections and a deadline on every call.
 
-use async_dup::Arc;
-use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt};
+use crate::deadlines::Deadlines;
+use crate::socket::Socket;
+use async_io::Async;
+use futures_lite::AsyncReadExt;
 use http_types::{Method, Request, Url};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,8 +11,6 @@
 use std::net::{SocketAddrV4, TcpStream};
 use std::time::{Duration, Instant};
 
-type Stream = Arc<Async<TcpStream>>;
-
 /// Largest response that is read; the state service's pages are 512 KiB.
 const MOST_RESPONSE: u64 = 4 * 1024 * 1024;
 /// Kept connections idle longer than this are closed rather than used.
@@ -32,26 +31,19 @@
 
 #[derive(Default)]
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddrV4, Vec<(Stream, Instant)>>>,
-}
-
-async fn within<T>(left: Duration, f: impl std::future::Future<Output = T>) -> Option<T> {
-    future::or(async { Some(f.await) }, async {
-        Timer::after(left).await;
-        None
-    })
-    .await
+    pub deadlines: Deadlines,
+    idle: RefCell<HashMap<SocketAddrV4, Vec<(Socket, Instant)>>>,
 }
 
 impl Client {
-    fn kept(&self, addr: SocketAddrV4) -> Option<Stream> {
+    fn kept(&self, addr: SocketAddrV4) -> Option<Socket> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         list.retain(|(_, since)| since.elapsed() < IDLE);
         list.pop().map(|(s, _)| s)
     }
 
-    fn keep(&self, addr: SocketAddrV4, stream: Stream) {
+    fn keep(&self, addr: SocketAddrV4, stream: Socket) {
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(addr).or_default();
         if list.len() < MOST_IDLE {
@@ -71,7 +63,6 @@
     ) -> Result<Response, Failure> {
         let deadline = Instant::now() + timeout;
         let kept = if reuse { self.kept(addr) } else { None };
-        let was_kept = kept.is_some();
         let safe = method == Method::Get;
         if let Some(stream) = kept {
             let r = self.exchange(addr, stream, method, target, body.clone(), deadline, reuse).await;
@@ -81,21 +72,19 @@
                 return r;
             }
         }
-        let _ = was_kept;
         let left = deadline.saturating_duration_since(Instant::now());
-        let stream = match within(left, Async::<TcpStream>::connect(addr)).await {
+        let stream = match self.deadlines.within(left, Async::<TcpStream>::connect(addr)).await {
             Some(Ok(s)) => s,
             _ => return Err(Failure::NotSent),
         };
-        let _ = stream.get_ref().set_nodelay(true);
-        self.exchange(addr, Arc::new(stream), method, target, body, deadline, reuse).await
+        self.exchange(addr, Socket::new(stream), method, target, body, deadline, reuse).await
     }
 
     #[allow(clippy::too_many_arguments)]
     async fn exchange(
         &self,
         addr: SocketAddrV4,
-        stream: Stream,
+        stream: Socket,
         method: Method,
         target: &str,
         body: Option<Vec<u8>>,
@@ -112,8 +101,8 @@
             request.insert_header("content-type", "application/msgpack");
         }
         let left = deadline.saturating_duration_since(Instant::now());
-        let io = stream.clone();
-        let done = within(left, async move {
+        let io = stream.again();
+        let call = async move {
             let mut response =
                 async_h1::connect(io, request).await.map_err(|e| io::Error::other(e.to_string()))?;
             let closing = response
@@ -123,9 +112,8 @@
             let mut bytes = Vec::new();
             response.take_body().take(MOST_RESPONSE).read_to_end(&mut bytes).await?;
             io::Result::Ok((status, bytes, closing))
-        })
-        .await;
-        match done {
+        };
+        match self.deadlines.within(left, call).await {
             Some(Ok((status, body, closing))) => {
                 if reuse && !closing {
                     self.keep(addr, stream);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,9 +1,11 @@
 //! Runs a core on sockets and clocks, all on one thread.
 
 mod client;
+mod deadlines;
 mod peers;
 mod server;
 mod services;
+mod socket;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -79,19 +81,16 @@
         let (sender, receiver) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(id, sender);
         self.feed(Input::Request(id, request));
-        let answer = futures_lite::future::or(async { receiver.recv().await.ok() }, async {
-            Timer::after(LONGEST_ANSWER).await;
-            None
-        })
-        .await;
+        let answer = self.client.deadlines.within(LONGEST_ANSWER, receiver.recv()).await;
         self.waiting.borrow_mut().remove(&id);
-        answer
+        answer?.ok()
     }
 
     async fn tick(self: Rc<Self>) {
         loop {
             let pause = self.core.borrow().wake_s();
             Timer::after(Duration::from_secs_f64(pause)).await;
+            self.client.deadlines.sweep();
             self.feed(Input::Tick);
         }
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,16 +1,20 @@
 //! The front door: users, workers and health checks over `async-h1`.
 
+use crate::socket::Socket;
 use crate::Driver;
-use async_dup::Arc;
+use async_h1::server::{decode, Encoder};
 use async_io::{Async, Timer};
 use engine::Request as Input;
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::{io, AsyncReadExt};
 use http_types::{Method, Request, Response, StatusCode};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{debug, warn};
 
+/// Silence before a request, the request and its answer together take this
+/// long at most; then the connection is closed.
+const LONGEST: Duration = Duration::from_secs(60);
 /// A request's body has to be there within this time.
 const BODY: Duration = Duration::from_secs(4);
 
@@ -29,7 +33,6 @@
             debug!("too many connections");
             continue;
         }
-        let _ = stream.get_ref().set_nodelay(true);
         open.set(open.get() + 1);
         let (driver, open) = (driver.clone(), open.clone());
         driver.clone().spawn(async move {
@@ -41,14 +44,29 @@
     }
 }
 
+/// Serves one connection's requests, one after the other. It uses the library's
+/// decoder and encoder, but not its loop, which sets a timer of a second reactor
+/// with a thread of its own for every request.
 async fn connection(driver: Rc<Driver>, stream: Async<TcpStream>) -> http_types::Result<()> {
-    // Silence between requests ends a connection after a minute (the
-    // library's own limit).
-    async_h1::accept(Arc::new(stream), |request| {
-        let driver = driver.clone();
-        async move { Ok(respond(&driver, request).await) }
-    })
-    .await
+    let mut socket = Socket::new(stream);
+    loop {
+        let once = driver.client.deadlines.within(LONGEST, exchange(&driver, &mut socket)).await;
+        if !once.transpose()?.unwrap_or(false) {
+            return Ok(());
+        }
+    }
+}
+
+/// One request and its answer; whether another may follow.
+async fn exchange(driver: &Rc<Driver>, socket: &mut Socket) -> http_types::Result<bool> {
+    let Some((request, mut rest)) = decode(socket.clone()).await? else { return Ok(false) };
+    let last = request.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+    let method = request.method();
+    let response = respond(driver, request).await;
+    io::copy(Encoder::new(response, method), socket).await?;
+    // What the answer did not need of the body.
+    io::copy(&mut rest, io::sink()).await?;
+    Ok(!last)
 }
 
 fn plain(status: StatusCode) -> Response {
@@ -62,11 +80,11 @@
     let job = path.strip_prefix("/api/jobs/");
     let input = match (path.as_str(), job) {
         ("/up", _) if get => Input::Up,
-        ("/api/jobs", _) if post => match body(&mut request).await {
+        ("/api/jobs", _) if post => match body(driver, &mut request).await {
             Some(b) => Input::Submit(b),
             None => return plain(StatusCode::RequestTimeout),
         },
-        ("/agent/beat", _) if post => match body(&mut request).await {
+        ("/agent/beat", _) if post => match body(driver, &mut request).await {
             Some(b) => Input::Report(b),
             None => return plain(StatusCode::RequestTimeout),
         },
@@ -92,7 +110,7 @@
 }
 
 /// Reads at most one byte over the limit: the core refuses what is longer.
-async fn body(request: &mut Request) -> Option<Vec<u8>> {
+async fn body(driver: &Driver, request: &mut Request) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
     let most = wire::BODY_LIMIT as u64 + 1;
     let taken = request.take_body();
@@ -100,10 +118,6 @@
         let mut limited = taken.take(most);
         limited.read_to_end(&mut bytes).await.is_ok()
     };
-    let whole = future::or(read, async {
-        Timer::after(BODY).await;
-        false
-    })
-    .await;
-    whole.then_some(bytes)
+    let whole = driver.client.deadlines.within(BODY, read).await;
+    (whole == Some(true)).then_some(bytes)
 }
