--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -3,7 +3,7 @@
 
 use crate::fleet::Fleet;
 use crate::job::Job;
-use crate::machine::Machine;
+use crate::machine::{Life, Machine};
 use crate::record::*;
 use crate::workers::Held;
 use crate::{CallId, Core, Purpose, StateOp, StateReply, Time};
@@ -12,6 +12,7 @@
 use tracing::{debug, info, warn};
 use wire::job::JobSpec;
 use wire::state::{Change, Condition, Event, Item, Txn};
+use wire::worker::TaskState;
 
 /// Older jobs tell nothing of a machine's images any more.
 const REMEMBERED_S: f64 = 3600.0;
@@ -70,6 +71,8 @@
     on: HashMap<String, BTreeSet<(String, u32)>>,
     /// Jobs with tasks that are to be stopped and may not know it yet.
     pub stops: BTreeSet<String>,
+    /// When the next line on tasks and machines is due.
+    summary_at: Time,
     /// Last look after machines, fleet and cloud.
     pub swept_at: Time,
     pub plan_dirty: bool,
@@ -117,6 +120,7 @@
             held_scan: now,
             on: HashMap::new(),
             stops: BTreeSet::new(),
+            summary_at: now,
             swept_at: now - 1.0,
             plan_dirty: true,
             planned_at: now - 1.0,
@@ -382,6 +386,7 @@
                 }
                 self.machines_on_time();
                 self.resign_if_unheard();
+                self.summarise();
             }
             self.plan_on_time();
             if due {
@@ -393,6 +398,39 @@
         }
     }
 
+    /// Now and then a line on where all work and machines stand.
+    fn summarise(&mut self) {
+        let now = self.now;
+        let every = self.settings.params.workers.lease_s;
+        let Role::Leader(l) = &mut self.role else { return };
+        if now < l.summary_at {
+            return;
+        }
+        l.summary_at = now + every;
+        let (mut unstored, mut unseen, mut fetching, mut gathering, mut running, mut stopping) =
+            (0, 0, 0, 0, 0, 0);
+        let (mut waiting, mut jobs) = (0, 0);
+        for job in l.jobs.values().filter(|j| !j.is_final()) {
+            let open = job.spec.tasks.saturating_sub(job.done_count + job.places.len() as u32);
+            waiting += open;
+            jobs += u32::from(open > 0);
+            for p in job.places.values() {
+                let count = match (p.stopping, p.committed, p.seen) {
+                    (Some(_), ..) => &mut stopping,
+                    (_, false, _) => &mut unstored,
+                    (_, _, None) => &mut unseen,
+                    (_, _, Some(TaskState::Fetching)) => &mut fetching,
+                    (_, _, Some(TaskState::Waiting)) => &mut gathering,
+                    _ => &mut running,
+                };
+                *count += 1;
+            }
+        }
+        let up = l.machines.values().filter(|m| m.life == Life::Up).count();
+        let booting = l.machines.values().filter(|m| m.life == Life::Booting).count();
+        info!(jobs, waiting, unstored, unseen, fetching, gathering, running, stopping, up, booting, "tasks");
+    }
+
     fn load_on_time(&mut self, token: u64) {
         let now = self.now;
         let Some(l) = self.lead(token) else { return };
