Reserve covers no more than the surplus of arrivals in a bad moment

Cause: the reserve was all that arrives while a machine boots, though with many jobs what ends makes room for most of it. It is now that mean or one and a half standard deviations of arrivals less ends, whichever is less; with few jobs that is the mean, as before.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -267,7 +267,7 @@
             .classes
             .iter()
             .filter(|(name, _)| prompt.contains(name.as_str()))
-            .filter_map(|(_, c)| c.pool.as_ref().map(|p| p.0.clone()))
+            .filter_map(|(_, c)| c.pool.as_ref().map(|u| u.pool.clone()))
             .collect();
         let hold = |m: &Machine| {
             let pool = (m.machine_type.clone(), m.spot);
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -19,9 +19,17 @@
     samples: u32,
     /// Times of the last arrivals.
     arrivals: VecDeque<f64>,
-    /// Where its jobs run cheapest: pool, machines per job (a running mean),
-    /// and the pool's boot time.
-    pub pool: Option<(Pool, f64, f64)>,
+    /// Where its jobs run cheapest: pool, machines per job (running means of
+    /// the number and of its square), and the pool's boot time.
+    pub pool: Option<Usual>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Usual {
+    pub pool: Pool,
+    pub machines: f64,
+    pub squared: f64,
+    pub boot_s: f64,
 }
 
 /// Arrivals that the rate of a class is taken from.
@@ -38,12 +46,12 @@
         if self.arrivals.len() > ARRIVALS {
             self.arrivals.pop_front();
         }
-        if let Some((pool, machines, boot)) = pool {
-            let mean = match &self.pool {
-                Some((_, old, _)) => old + (machines - old) / 4.0,
-                None => machines,
-            };
-            self.pool = Some((pool, mean, boot));
+        if let Some((pool, machines, boot_s)) = pool {
+            let squared = machines * machines;
+            let usual = self.pool.get_or_insert(Usual { pool: pool.clone(), machines, squared, boot_s });
+            usual.machines += (machines - usual.machines) / 4.0;
+            usual.squared += (squared - usual.squared) / 8.0;
+            (usual.pool, usual.boot_s) = (pool, boot_s);
         }
     }
 
@@ -74,6 +82,9 @@
     }
 }
 
+/// Standard deviations of the surplus of arrivals that a reserve covers.
+const SURPLUS: f64 = 1.5;
+
 /// From sending a stop until its place can be given anew, about.
 const STOP_S: f64 = 1.5;
 
@@ -463,14 +474,23 @@
                 *used.entry(pool).or_insert(0.0) += 1.0;
             }
         }
-        // What usually comes while a machine boots, by pool.
-        let mut reserve: BTreeMap<Pool, f64> = BTreeMap::new();
+        // What usually comes while a machine boots, by pool: its mean and, as
+        // jobs come and end like throws of dice, the variance of how many
+        // machines' worth come less how many end.
+        let mut usual: BTreeMap<Pool, (f64, f64)> = BTreeMap::new();
         for class in l.classes.values() {
-            if let Some((pool, machines, boot)) = &class.pool {
-                *reserve.entry(pool.clone()).or_insert(0.0) +=
-                    class.rate(now) * machines * boot * reserve_share;
+            if let Some(u) = &class.pool {
+                let jobs = class.rate(now) * u.boot_s;
+                let sums = usual.entry(u.pool.clone()).or_insert((0.0, 0.0));
+                sums.0 += jobs * u.machines;
+                sums.1 += 2.0 * jobs * u.squared;
             }
         }
+        // Work that ends gives its machines to what comes, so with many jobs
+        // only the surplus of a bad moment needs a reserve.
+        let reserve = |pool: &Pool| {
+            usual.get(pool).map_or(0.0, |(mean, var)| mean.min(SURPLUS * var.sqrt()) * reserve_share)
+        };
         let mut wanted: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut target: BTreeMap<Pool, u32> = BTreeMap::new();
         for t in types {
@@ -478,7 +498,7 @@
                 let pool = (t.name.clone(), spot);
                 let n = need.get(&pool).copied().unwrap_or(0.0).ceil();
                 let u = used.get(&pool).copied().unwrap_or(0.0);
-                let r = reserve.get(&pool).copied().unwrap_or(0.0).round();
+                let r = reserve(&pool).round();
                 let keep = u + n + r;
                 let there = f64::from(have.get(&pool).copied().unwrap_or(0));
                 target.insert(pool.clone(), keep as u32);
