--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -32,6 +32,8 @@
     pub wanted: BTreeMap<Pool, u32>,
     /// Machines each pool should keep.
     pub target: BTreeMap<Pool, u32>,
+    /// Machines of a pool beyond which no bad moment is likely to need one.
+    pub ample: BTreeMap<Pool, u32>,
     /// Machines deleted, with when: the list shows them for a while yet.
     buried: BTreeMap<String, Time>,
 }
@@ -260,7 +262,7 @@
         for m in l.machines.values().filter(|m| m.takes_work()) {
             *count.entry((m.machine_type.clone(), m.spot)).or_insert(0) += 1;
         }
-        let mut idle: Vec<(Time, String)> = Vec::new();
+        let mut idle: Vec<(Time, String, bool)> = Vec::new();
         // Where work has to start within seconds, a machine is worth keeping
         // until another could have booted in its place.
         let waited_for: BTreeSet<Pool> = l
@@ -269,14 +271,6 @@
             .filter(|(name, _)| prompt.contains(name.as_str()))
             .filter_map(|(_, c)| c.pool.as_ref().map(|u| u.pool.clone()))
             .collect();
-        let hold = |m: &Machine| {
-            let pool = (m.machine_type.clone(), m.spot);
-            if waited_for.contains(&pool) {
-                own.idle_hold.max(1.0)
-            } else {
-                own.idle_hold
-            }
-        };
         for m in l.machines.values_mut() {
             let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
             if used.contains(m.id.as_str()) {
@@ -294,20 +288,24 @@
                     if m.heard.is_some_and(|h| now - h < silent_s)
                         && m.tasks.is_empty()
                         && m.notice_until.is_none()
-                        && now - m.idle_since > boot * hold(m)
+                        && now - m.idle_since > boot * own.idle_hold
                         && now - m.since > LEAST_CHARGE_S =>
                 {
-                    idle.push((m.idle_since, m.id.clone()));
+                    let pool = (m.machine_type.clone(), m.spot);
+                    let prompt = waited_for.contains(&pool) && now - m.idle_since <= boot;
+                    idle.push((m.idle_since, m.id.clone(), prompt));
                 }
                 _ => {}
             }
         }
         idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (_, id) in idle {
+        for (_, id, prompt) in idle {
             let Some(m) = l.machines.get_mut(&id) else { continue };
             let pool = (m.machine_type.clone(), m.spot);
             let have = count.entry(pool.clone()).or_insert(0);
-            if *have > l.fleet.target.get(&pool).copied().unwrap_or(0) {
+            // Far more idle ones than a bad moment takes are not worth it.
+            let keep = if prompt { &l.fleet.ample } else { &l.fleet.target };
+            if *have > keep.get(&pool).copied().unwrap_or(0) {
                 *have -= 1;
                 info!(machine = %id, kind = %pool.0, spot = pool.1, "idle beyond the target, giving it back");
                 m.life = Life::Leaving;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -488,9 +488,12 @@
         }
         // Work that ends gives its machines to what comes, so with many jobs
         // only the surplus of a bad moment needs a reserve.
+        let surplus = |pool: &Pool| usual.get(pool).map_or(0.0, |u| SURPLUS * u.1.sqrt() * reserve_share);
         let reserve = |pool: &Pool| {
-            usual.get(pool).map_or(0.0, |(mean, var)| mean.min(SURPLUS * var.sqrt()) * reserve_share)
+            let mean = usual.get(pool).map_or(0.0, |u| u.0 * reserve_share);
+            mean.min(surplus(pool))
         };
+        let mut ample: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut wanted: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut target: BTreeMap<Pool, u32> = BTreeMap::new();
         for t in types {
@@ -502,6 +505,7 @@
                 let keep = u + n + r;
                 let there = f64::from(have.get(&pool).copied().unwrap_or(0));
                 target.insert(pool.clone(), keep as u32);
+                ample.insert(pool.clone(), (u + n + surplus(&pool)).ceil() as u32);
                 let coming = f64::from(booting.get(&pool).copied().unwrap_or(0));
                 let missing = (keep - there).max(n - coming);
                 if missing > 0.0 {
@@ -514,5 +518,6 @@
         }
         l.fleet.wanted = wanted;
         l.fleet.target = target;
+        l.fleet.ample = ample;
     }
 }
