--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -50,9 +50,29 @@
         self.writes.get_or_insert_with(|| Budget::new(rate))
     }
 
-    /// Whether any zone may still have such machines.
-    pub fn available(&self, now: Time, t: &MachineType, spot: bool) -> bool {
-        t.zones.iter().any(|z| self.zone_open(now, &t.name, z, spot))
+    /// How many such machines may be had: none where they were refused just
+    /// now, a few where they were refused lately, else any number. (All the
+    /// work was once sent after a pool as soon as its pause was over, found a
+    /// machine or none, and dearer machines were rented much too late.)
+    pub fn room(&self, now: Time, t: &MachineType, spot: bool) -> f64 {
+        t.zones
+            .iter()
+            .filter(|z| self.zone_open(now, &t.name, z, spot))
+            .map(
+                |z| {
+                    if self.refused_lately(now, &t.name, z, spot) {
+                        f64::from(PROBE)
+                    } else {
+                        f64::MAX / 1e6
+                    }
+                },
+            )
+            .sum()
+    }
+
+    fn refused_lately(&self, now: Time, name: &str, zone: &str, spot: bool) -> bool {
+        let key = (name.to_string(), zone.to_string(), spot);
+        self.blocked.get(&key).is_some_and(|(until, _)| now - until < LEAST_CHARGE_S)
     }
 
     fn zone_open(&self, now: Time, name: &str, zone: &str, spot: bool) -> bool {
@@ -60,6 +80,9 @@
     }
 }
 
+/// Machines asked for where there were none a while ago.
+const PROBE: u32 = 2;
+
 /// The cloud charges every machine for that long at least.
 const LEAST_CHARGE_S: f64 = 60.0;
 
@@ -389,6 +412,8 @@
                 zones.sort();
                 if let Some((_, zone)) = zones.first() {
                     let part = n.div_ceil(zones.len() as u32).clamp(1, MOST_RENTED);
+                    let lately = l.fleet.refused_lately(now, name, zone, *spot);
+                    let part = if lately { part.min(PROBE) } else { part };
                     choice = Some((name.clone(), *spot, (*zone).clone(), part));
                     break;
                 }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -429,6 +429,7 @@
         let reserve_share = self.operator.reserve;
         let Role::Leader(l) = &mut self.role else { return };
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
+        let mut rooms: BTreeMap<Pool, f64> = BTreeMap::new();
         for u in &made.unmet {
             // Work that will be in time where it is planned needs no machine
             // more, unless its guarantee asks for a start now.
@@ -450,14 +451,22 @@
                         continue;
                     }
                     let price = if spot { p.types[k].spot_price } else { p.types[k].price };
-                    if l.fleet.available(now, &types[k], spot) {
-                        pools.push((price / n, (types[k].name.clone(), spot), n));
-                    }
+                    let pool = (types[k].name.clone(), spot);
+                    rooms.entry(pool.clone()).or_insert_with(|| l.fleet.room(now, &types[k], spot));
+                    pools.push((price / n, pool, n));
                 }
             }
             pools.sort_by(|a, b| a.0.total_cmp(&b.0));
-            if let Some((_, pool, n)) = pools.into_iter().next() {
-                *need.entry(pool).or_insert(0.0) += f64::from(tasks) / n;
+            // The cheapest first, and what it has not got from the next.
+            let mut left = f64::from(tasks);
+            for (_, pool, n) in pools {
+                let Some(room) = rooms.get_mut(&pool) else { continue };
+                let machines = (left / n).min(*room).max(0.0);
+                *room -= machines;
+                left -= machines * n;
+                if machines > 0.0 {
+                    *need.entry(pool).or_insert(0.0) += machines;
+                }
             }
         }
         let mut used: BTreeMap<Pool, f64> = BTreeMap::new();
