A node that alone misses the state service calls itself unfit for users

Cause: refused by the state service alone, a node went on drawing a share of the users, each answered 503 for as long as it lasted. It now fails its health check once a peer is known to be served; in an outage of all nothing changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -162,6 +162,8 @@
     pub(crate) writes: Budget,
     /// Renewals and transactions confirmed by the service, for the logs.
     pub(crate) state_ok_at: Time,
+    /// Since when the state service has refused or not answered every call.
+    pub(crate) state_bad_since: Option<Time>,
     /// When each worker last reported here, whatever it was answered.
     pub(crate) workers_heard: BTreeMap<String, Time>,
     /// The other controllers' views, with when they came.
@@ -196,6 +198,7 @@
             reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
             writes: Budget::new(settings.params.state.write_rps * (1.0 - commit::LEADER_WRITES) / nodes),
             state_ok_at: 0.0,
+            state_bad_since: None,
             workers_heard: BTreeMap::new(),
             peers: BTreeMap::new(),
             operator,
@@ -213,8 +216,11 @@
             Input::Request(id, r) => self.on_request(id, r),
             Input::State(call, reply) => {
                 if let Some(p) = self.calls.remove(&call) {
-                    if !matches!(reply, StateReply::Refused | StateReply::Unknown) {
+                    if matches!(reply, StateReply::Refused | StateReply::Unknown) {
+                        self.state_bad_since.get_or_insert(self.now);
+                    } else {
                         self.state_ok_at = self.now;
+                        self.state_bad_since = None;
                     }
                     self.on_state(p, reply);
                 }
@@ -245,11 +251,21 @@
         wire::peer::View {
             node: self.settings.node.clone(),
             token: if let Role::Leader(l) = &self.role { l.token } else { 0 },
-            state_reached: self.now - self.state_ok_at < self.d.leader_ttl_s,
+            state_reached: self.state_bad_since.is_none()
+                && self.now - self.state_ok_at < self.d.leader_ttl_s,
             workers_heard: self.workers_heard.values().filter(|&&t| t > since).count() as u32,
         }
     }
 
+    /// Whether this node alone misses the state service, so that users are
+    /// better off with the others: a peer has reached it since. In an outage
+    /// all stay, or users would be kept away for longer than it lasts.
+    fn users_better_elsewhere(&self) -> bool {
+        let Some(since) = self.state_bad_since else { return false };
+        let judged = since + self.d.renew_s;
+        self.now > judged && self.peers.values().any(|(v, at)| v.state_reached && *at > judged)
+    }
+
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
         match &self.role {
@@ -304,7 +320,9 @@
             Request::Cancel(job) => self.on_cancel(id, &job),
             Request::Report(body) => self.on_report(id, &body),
             Request::Up => {
-                if self.types.is_some() {
+                if self.users_better_elsewhere() {
+                    self.refuse(id, 503, "state service not reached from here");
+                } else if self.types.is_some() {
                     self.answer(id, 200, wire::encode(&wire::job::Refusal { error: String::new() }));
                 } else {
                     self.refuse(id, 503, "machine types not known yet");
