--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -390,7 +390,10 @@
             if !entitled || !l.fleet.listed_once {
                 return;
             }
-            let mut choice = None;
+            // Calls are few, so the one that brings most machines goes first. (In
+            // the order of names, single ordinary machines once kept hundreds of
+            // spot machines waiting for half a minute.)
+            let mut choice: Option<(String, bool, String, u32)> = None;
             for ((name, spot), n) in &l.fleet.wanted {
                 let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
                 if *n == 0 {
@@ -414,8 +417,9 @@
                     let part = n.div_ceil(zones.len() as u32).clamp(1, MOST_RENTED);
                     let lately = l.fleet.refused_lately(now, name, zone, *spot);
                     let part = if lately { part.min(PROBE) } else { part };
-                    choice = Some((name.clone(), *spot, (*zone).clone(), part));
-                    break;
+                    if choice.as_ref().is_none_or(|c| part > c.3) {
+                        choice = Some((name.clone(), *spot, (*zone).clone(), part));
+                    }
                 }
             }
             let Some((machine_type, spot, zone, count)) = choice else { return };
