--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -24,6 +24,8 @@
     types_busy: bool,
     /// The rental whose outcome is not known yet.
     rental: Option<Rental>,
+    /// The pool that the last rental was asked of.
+    rented: Option<Pool>,
     /// No capacity there until then, with how often in a row.
     blocked: BTreeMap<(String, String, bool), (Time, u32)>,
     deleting: bool,
@@ -390,9 +392,10 @@
             if !entitled || !l.fleet.listed_once {
                 return;
             }
-            // Calls are few, so the one that brings most machines goes first. (In
-            // the order of names, single ordinary machines once kept hundreds of
-            // spot machines waiting for half a minute.)
+            // Calls are few, so the one that brings most machines goes first, but
+            // no pool twice in a row while another waits. (In the order of names,
+            // single ordinary machines once kept hundreds of spot machines waiting
+            // for half a minute; the largest alone kept gangs waiting for theirs.)
             let mut choice: Option<(String, bool, String, u32)> = None;
             for ((name, spot), n) in &l.fleet.wanted {
                 let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
@@ -417,12 +420,17 @@
                     let part = n.div_ceil(zones.len() as u32).clamp(1, MOST_RENTED);
                     let lately = l.fleet.refused_lately(now, name, zone, *spot);
                     let part = if lately { part.min(PROBE) } else { part };
-                    if choice.as_ref().is_none_or(|c| part > c.3) {
+                    let again = |c: &str, kind: bool| {
+                        l.fleet.rented.as_ref().is_some_and(|r| r.0 == c && r.1 == kind)
+                    };
+                    let rank = (!again(name, *spot), part);
+                    if choice.as_ref().is_none_or(|c| rank > (!again(&c.0, c.1), c.3)) {
                         choice = Some((name.clone(), *spot, (*zone).clone(), part));
                     }
                 }
             }
             let Some((machine_type, spot, zone, count)) = choice else { return };
+            l.fleet.rented = Some((machine_type.clone(), spot));
             l.booking += 1;
             let request = format!("r-{token}-{}", l.booking);
             l.fleet.rental = Some(Rental {
