--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -32,6 +32,8 @@
     delete_at: Time,
     /// Machines wanted beyond those there are, by pool.
     pub wanted: BTreeMap<Pool, u32>,
+    /// Pools that work waits for, not only a reserve.
+    pub waited: BTreeSet<Pool>,
     /// Machines each pool should keep.
     pub target: BTreeMap<Pool, u32>,
     /// Machines of a pool beyond which no bad moment is likely to need one.
@@ -393,7 +395,8 @@
                 return;
             }
             // Calls are few, so the one that brings most machines goes first, but
-            // no pool twice in a row while another waits. (In the order of names,
+            // work that waits before any reserve, and no pool twice in a row while
+            // another waits. (In the order of names,
             // single ordinary machines once kept hundreds of spot machines waiting
             // for half a minute; the largest alone kept gangs waiting for theirs.)
             let mut choice: Option<(String, bool, String, u32)> = None;
@@ -423,8 +426,13 @@
                     let again = |c: &str, kind: bool| {
                         l.fleet.rented.as_ref().is_some_and(|r| r.0 == c && r.1 == kind)
                     };
-                    let rank = (!again(name, *spot), part);
-                    if choice.as_ref().is_none_or(|c| rank > (!again(&c.0, c.1), c.3)) {
+                    let rank = |name: &String, spot: bool, part: u32| {
+                        let waits = l.fleet.waited.contains(&(name.clone(), spot));
+                        (waits, !again(name, spot), part)
+                    };
+                    let better =
+                        |c: &(String, bool, String, u32)| rank(name, *spot, part) > rank(&c.0, c.1, c.3);
+                    if choice.as_ref().is_none_or(better) {
                         choice = Some((name.clone(), *spot, (*zone).clone(), part));
                     }
                 }
