--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -32,8 +32,6 @@
     delete_at: Time,
     /// Machines wanted beyond those there are, by pool.
     pub wanted: BTreeMap<Pool, u32>,
-    /// Pools that work waits for, not only a reserve.
-    pub waited: BTreeSet<Pool>,
     /// Machines each pool should keep.
     pub target: BTreeMap<Pool, u32>,
     /// Machines of a pool beyond which no bad moment is likely to need one.
@@ -394,11 +392,10 @@
             if !entitled || !l.fleet.listed_once {
                 return;
             }
-            // Calls are few, so the one that brings most machines goes first, but
-            // work that waits before any reserve, and no pool twice in a row while
-            // another waits. (In the order of names,
-            // single ordinary machines once kept hundreds of spot machines waiting
-            // for half a minute; the largest alone kept gangs waiting for theirs.)
+            // Calls are few. Ordinary machines come before spot ones, which less
+            // work may use, but no pool twice in a row while another waits: single
+            // ordinary machines once kept hundreds of spot machines waiting for half
+            // a minute, and the largest call first kept gangs waiting for theirs.
             let mut choice: Option<(String, bool, String, u32)> = None;
             for ((name, spot), n) in &l.fleet.wanted {
                 let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
@@ -423,18 +420,13 @@
                     let part = n.div_ceil(zones.len() as u32).clamp(1, MOST_RENTED);
                     let lately = l.fleet.refused_lately(now, name, zone, *spot);
                     let part = if lately { part.min(PROBE) } else { part };
-                    let again = |c: &str, kind: bool| {
-                        l.fleet.rented.as_ref().is_some_and(|r| r.0 == c && r.1 == kind)
-                    };
-                    let rank = |name: &String, spot: bool, part: u32| {
-                        let waits = l.fleet.waited.contains(&(name.clone(), spot));
-                        (waits, !again(name, spot), part)
-                    };
-                    let better =
-                        |c: &(String, bool, String, u32)| rank(name, *spot, part) > rank(&c.0, c.1, c.3);
-                    if choice.as_ref().is_none_or(better) {
+                    let again = l.fleet.rented.as_ref().is_some_and(|r| r.0 == *name && r.1 == *spot);
+                    if choice.is_none() || !again {
                         choice = Some((name.clone(), *spot, (*zone).clone(), part));
                     }
+                    if !again {
+                        break;
+                    }
                 }
             }
             let Some((machine_type, spot, zone, count)) = choice else { return };
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -530,6 +530,5 @@
         l.fleet.wanted = wanted;
         l.fleet.target = target;
         l.fleet.ample = ample;
-        l.fleet.waited = need.into_keys().collect();
     }
 }
