--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -85,7 +85,7 @@
 /// Standard deviations of the surplus of arrivals that a reserve covers.
 const SURPLUS: f64 = 1.5;
 /// Idle machines beyond so many times that surplus are not held for long.
-const AMPLE: f64 = 2.0;
+const AMPLE: f64 = 1.0;
 
 /// From sending a stop until its place can be given anew, about.
 const STOP_S: f64 = 1.5;
