--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -84,8 +84,6 @@
 
 /// Standard deviations of the surplus of arrivals that a reserve covers.
 const SURPLUS: f64 = 1.5;
-/// Idle machines beyond so many times that surplus are not held for long.
-const AMPLE: f64 = 1.0;
 
 /// From sending a stop until its place can be given anew, about.
 const STOP_S: f64 = 1.5;
@@ -516,7 +514,7 @@
                 let keep = u + n + r;
                 let there = f64::from(have.get(&pool).copied().unwrap_or(0));
                 target.insert(pool.clone(), keep as u32);
-                ample.insert(pool.clone(), (u + n + surplus(&pool) * AMPLE).ceil() as u32);
+                ample.insert(pool.clone(), (u + n + surplus(&pool)).ceil() as u32);
                 let coming = f64::from(booting.get(&pool).copied().unwrap_or(0));
                 let missing = (keep - there).max(n - coming);
                 if missing > 0.0 {
