--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::machine::{Life, Machine};
 use crate::record::*;
 use crate::{Budget, CloudOp, CloudReply, Core, Purpose, StateOp, Time};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use tracing::{info, warn};
 use wire::cloud::*;
 use wire::state::{Change, Condition, Txn};
@@ -44,8 +44,10 @@
     pub target: BTreeMap<Pool, u32>,
     /// Machines of a pool beyond which no bad moment is likely to need one.
     pub ample: BTreeMap<Pool, u32>,
-    /// Machines deleted, with when: the list shows them for a while yet.
-    buried: BTreeMap<String, Time>,
+    /// Machines deleted, the oldest first: the list shows them for a while yet,
+    /// and late reports may speak of them at any time.
+    buried: BTreeSet<String>,
+    buried_order: VecDeque<String>,
 }
 
 struct Rental {
@@ -60,6 +62,23 @@
         self.writes.get_or_insert_with(|| Budget::new(rate))
     }
 
+    /// `machine` was deleted. Names of machines are never used again.
+    fn bury(&mut self, machine: &str) {
+        if self.buried.insert(machine.to_string()) {
+            self.buried_order.push_back(machine.to_string());
+        }
+        if self.buried_order.len() > MOST_BURIED {
+            if let Some(oldest) = self.buried_order.pop_front() {
+                self.buried.remove(&oldest);
+            }
+        }
+    }
+
+    /// Whether `machine` is known to be gone.
+    pub(crate) fn is_gone(&self, machine: &str) -> bool {
+        self.buried.contains(machine)
+    }
+
     /// How many such machines may be had: none where they were refused just
     /// now, a few where they were refused lately, else any number. (All the
     /// work was once sent after a pool as soon as its pause was over, found a
@@ -90,6 +109,9 @@
     }
 }
 
+/// Machines that are remembered as deleted.
+const MOST_BURIED: usize = 20_000;
+
 /// Machines asked for where there were none a while ago.
 const PROBE: u32 = 2;
 
@@ -213,10 +235,8 @@
         l.fleet.listed_once = true;
         let list = std::mem::take(&mut l.fleet.list);
         let mut failed = Vec::new();
-        let (buried, sent) = (&mut l.fleet.buried, l.fleet.list_sent);
-        buried.retain(|_, at| sent - *at < 2.0 * lag + 2.0);
         for item in &list {
-            if buried.contains_key(&item.id) {
+            if l.fleet.is_gone(&item.id) {
                 continue;
             }
             let known = l.machines.contains_key(&item.id);
@@ -264,6 +284,9 @@
         l.plan_dirty = true;
         for id in gone {
             info!(machine = %id, "machine is gone");
+            if let Role::Leader(l) = &mut self.role {
+                l.fleet.bury(&id);
+            }
             self.lose_machine(&id, true);
         }
     }
@@ -390,7 +413,7 @@
         l.fleet.deleting = false;
         if r == CloudReply::Done {
             for id in machines {
-                l.fleet.buried.insert(id.clone(), now);
+                l.fleet.bury(id);
             }
             for id in machines {
                 self.lose_machine(id, true);
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -37,16 +37,16 @@
     pub content_token: u64,
     /// The node that took its newest report, if not this one.
     pub via: Option<Source>,
-    /// Receipt of its newest report that no command had asked for.
+    /// When its newest report came to a node that no command had asked for.
     pub reported: Option<Time>,
     /// When its report last showed just what is placed there, with nothing to be
     /// told; None: not since something changed.
     pub calm_at: Option<Time>,
     /// It stays with this node: it reports here, and was not sent on.
     pub stays: bool,
-    /// Receipt of its newest report to this leader.
+    /// When its newest report came to this node or to a gateway.
     pub heard: Option<Time>,
-    /// When this leader last answered a report of it with 200.
+    /// No report that it is known to have been answered came later than that.
     pub answered: Time,
     pub listed: bool,
     /// Cloud takes it away at that time.
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Takes what a newer report says.
-    pub fn update(&mut self, r: &Report, now: Time) {
+    /// Takes what a newer report says, which came to a node at `came`.
+    pub fn update(&mut self, r: &Report, now: Time, came: Time) {
         self.newest = (r.session, r.seq);
         self.content = self.newest;
         self.content_token = r.token;
@@ -105,7 +105,7 @@
         self.zone.clone_from(&r.zone);
         self.spot = r.spot;
         self.token_seen = self.token_seen.max(r.token);
-        self.heard = Some(now);
+        self.heard = later(self.heard, came);
         if self.life == Life::Booting {
             self.life = Life::Up;
             self.idle_since = now;
@@ -114,6 +114,12 @@
         self.tasks.clone_from(&r.tasks);
     }
 
+    /// A report that no command had asked for came to a node at `came`.
+    pub fn reported_at(&mut self, came: Time) {
+        self.heard = later(self.heard, came);
+        self.reported = later(self.reported, came);
+    }
+
     /// Whether a report with the same content needs no look: nothing has changed
     /// here since a close one, which was not long ago.
     pub fn calm(&self, now: Time, within: Time) -> bool {
@@ -172,3 +178,7 @@
         self.life != Life::Leaving && self.notice_until.is_none() && !self.sick && self.accused.is_none()
     }
 }
+
+fn later(a: Option<Time>, b: Time) -> Option<Time> {
+    Some(a.map_or(b, |a| a.max(b)))
+}
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -125,6 +125,7 @@
 
     fn on_entry(&mut self, source: &Source, entry: Entry) {
         let (now, close) = (self.now, self.d.heard_s);
+        let came = now - f64::from(entry.age_ms) / 1000.0;
         let Role::Leader(l) = &mut self.role else { return };
         let (token, held, place) = (l.token, entry.held, (entry.session, entry.seq));
         let machine = entry.machine.clone();
@@ -136,8 +137,8 @@
             // Most of all: its tasks go on as they did.
             (Some(base), Some(m)) if m.content == base && !held && m.calm(now, close) => {
                 if place > m.newest {
-                    (m.newest, m.answered) = (place, now);
-                    (m.heard, m.reported) = (Some(now), Some(now));
+                    (m.newest, m.answered) = (place, m.answered.max(came));
+                    m.reported_at(came);
                     m.stays = false;
                 }
                 return;
@@ -150,7 +151,7 @@
             }
         };
         let Some(report) = report.filter(|r| r.token <= token) else { return };
-        if !self.receive(&report, Some(source.clone())) {
+        if !self.receive(&report, Some(source.clone()), came) {
             return;
         }
         if let (Some(base), Role::Leader(l)) = (base, &mut self.role) {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -63,7 +63,7 @@
             let answer = ReportAnswer { token, commands: Vec::new() };
             return self.answer(req, 200, wire::encode(&answer));
         }
-        if !self.receive(report, None) {
+        if !self.receive(report, None, now) {
             // Late: its sender has given it up, and its tasks are as old as it.
             let answer = ReportAnswer { token, commands: Vec::new() };
             return self.answer(req, 200, wire::encode(&answer));
@@ -74,15 +74,21 @@
         self.hold_report(report, Way::Direct(req));
     }
 
-    /// Takes in a report that came here or by another node; false if it is not
-    /// newer than the last.
-    pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>) -> bool {
-        let now = self.now;
+    /// Takes in a report that came here or to another node at `came`; false if it
+    /// is not newer than the last, or speaks of a machine that is gone.
+    pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>, came: Time) -> bool {
+        let (now, silent_s) = (self.now, self.d.silent_s);
         let Role::Leader(l) = &mut self.role else { return false };
         let id = &report.machine;
+        // Gateways that come back pass on all that they knew: what was given
+        // back meanwhile once took work again until it fell silent.
+        let gone = l.fleet.is_gone(id) || !l.machines.contains_key(id) && now - came > silent_s;
+        if gone {
+            return false;
+        }
         let m = l.machines.entry(id.clone()).or_insert_with(|| {
             info!(machine = %report.machine, "machine heard that nobody listed yet");
-            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, now)
+            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, came)
         });
         if m.heard.is_none() {
             info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
@@ -92,13 +98,14 @@
                 m.note_image(image, at, gb);
             }
         }
-        m.answered = now;
-        if !self.take_report(report, true) {
+        // Its lease runs from when it sent the report, which was earlier.
+        m.answered = m.answered.max(came);
+        if !self.take_report(report, true, came) {
             return false;
         }
         if let Role::Leader(l) = &mut self.role {
             if let Some(m) = l.machines.get_mut(id) {
-                m.reported = Some(now);
+                m.reported_at(came);
                 m.stays = via.is_none();
                 m.via = via;
             }
@@ -128,7 +135,7 @@
         }
         if let WorkerReply::Report { report, .. } = r {
             if report.token <= token {
-                self.take_report(&report, false);
+                self.take_report(&report, false, self.now);
             }
         }
     }
@@ -136,8 +143,8 @@
     /// Draws what a report proves; false if it is not newer than the last.
     /// `beat` is false for the answer to a direct command: that one may have
     /// been made while the answer to a report, with a launch in it, was still
-    /// on its way, so what it lacks may yet start.
-    fn take_report(&mut self, report: &Report, beat: bool) -> bool {
+    /// on its way, so what it lacks may yet start. `came`: when a node got it.
+    fn take_report(&mut self, report: &Report, beat: bool, came: Time) -> bool {
         let now = self.now;
         let Role::Leader(l) = &mut self.role else { return false };
         let token = l.token;
@@ -147,7 +154,7 @@
         if self.guards.order && (report.session, report.seq) <= m.newest {
             return false;
         }
-        m.update(report, now);
+        m.update(report, now, came);
         if m.notice_until.is_some() && !noticed {
             info!(machine = %report.machine, notice_s = report.notice_s, "spot notice");
             l.plan_dirty = true;
--- a/crates/membership/src/gateway.rs
+++ b/crates/membership/src/gateway.rs
@@ -60,6 +60,9 @@
     unchanged_since: Place,
     /// The leadership that has the content in full, as of that report.
     passed: Option<(u64, Place)>,
+    /// When that report came.
+    came: Time,
+    /// The same, but earlier for a worker that was sent on.
     heard: Time,
     held: Option<Held>,
     /// It has yet to be passed on.
@@ -233,6 +236,7 @@
             newest: (0, 0),
             unchanged_since: place,
             passed: None,
+            came: now,
             heard: now,
             held: None,
             queued: false,
@@ -252,7 +256,7 @@
         if !same_content(&w.report, &report) {
             w.unchanged_since = place;
         }
-        (w.newest, w.heard, w.report) = (place, now, report);
+        (w.newest, w.came, w.heard, w.report) = (place, now, now, report);
         self.enqueue(&machine);
         let Some(l) = self.leave_now(now) else { return self.hold_without_leave(now, request, &machine) };
         if !l.ready || !self.asks_leader(&self.workers[&machine], l) {
@@ -374,6 +378,7 @@
                 same_as: base.unwrap_or(0),
                 held: w.held.is_some(),
                 content,
+                age_ms: millis(now - w.came) as u32,
             });
         }
         self.number += 1;
