--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::record::*;
 use crate::{Budget, CloudOp, CloudReply, Core, Purpose, StateOp, Time};
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use membership::Reach;
 use tracing::{info, warn};
 use wire::cloud::*;
 use wire::state::{Change, Condition, Txn};
@@ -48,6 +49,8 @@
     /// and late reports may speak of them at any time.
     buried: BTreeSet<String>,
     buried_order: VecDeque<String>,
+    /// Zones out of reach: nothing is rented there.
+    pub reach: Reach,
 }
 
 struct Rental {
@@ -105,7 +108,8 @@
     }
 
     pub(crate) fn zone_open(&self, now: Time, name: &str, zone: &str, spot: bool) -> bool {
-        self.blocked.get(&(name.to_string(), zone.to_string(), spot)).is_none_or(|(until, _)| now >= *until)
+        let key = (name.to_string(), zone.to_string(), spot);
+        !self.reach.is_dark(zone) && self.blocked.get(&key).is_none_or(|(until, _)| now >= *until)
     }
 }
 
@@ -260,6 +264,9 @@
                     m.addr.clone_from(a);
                 }
             }
+            if item.state == MachineState::Running {
+                m.is_up(now);
+            }
             if item.state == MachineState::Failed && m.life != Life::Leaving {
                 failed.push(item.id.clone());
             }
@@ -316,7 +323,7 @@
         let silent_s = self.d.silent_s / 2.0;
         let prompt = self.prompt_classes();
         let Role::Leader(l) = &mut self.role else { return };
-        let since = l.since;
+        let (since, reach) = (l.since, &l.fleet.reach);
         if !entitled {
             return;
         }
@@ -343,7 +350,11 @@
             match m.life {
                 // After a take-over every worker has its lease's time to report: an
                 // idle machine that had been up for long was once taken for stuck.
-                Life::Booting if now - m.since > boot * own.boot_stuck && now - since > lease_s => {
+                Life::Booting
+                    if now - m.since > boot * own.boot_stuck
+                        && now - since > lease_s
+                        && !reach.is_dark(&m.zone) =>
+                {
                     info!(machine = %m.id, "boot is stuck, giving it back");
                     m.life = Life::Leaving;
                 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -403,13 +403,28 @@
         }
     }
 
-    /// Machines that this leader takes for faulty.
-    pub fn quarantined(&self) -> impl Iterator<Item = &str> {
+    fn machines(&self) -> impl Iterator<Item = &machine::Machine> {
         let lead = match &self.role {
             Role::Leader(l) => Some(l),
             Role::Follower => None,
         };
-        lead.into_iter().flat_map(|l| l.machines.values()).filter(|m| m.sick).map(|m| m.id.as_str())
+        lead.into_iter().flat_map(|l| l.machines.values())
+    }
+
+    /// Machines that this leader takes for faulty.
+    pub fn quarantined(&self) -> impl Iterator<Item = &str> {
+        self.machines().filter(|m| m.sick).map(|m| m.id.as_str())
+    }
+
+    /// Machines that this leader would give work to now, their workers heard.
+    pub fn usable_machines(&self) -> impl Iterator<Item = &str> {
+        let up = |m: &&machine::Machine| m.heard.is_some() && m.takes_work() && !m.quiet(self.now, &self.d);
+        self.machines().filter(up).map(|m| m.id.as_str())
+    }
+
+    /// Machines that this leader has given up as silent and that may be there yet.
+    pub fn given_up(&self) -> impl Iterator<Item = &str> {
+        self.machines().filter(|m| m.given_up).map(|m| m.id.as_str())
     }
 
     /// Whether it leads and has read all records.
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::io::Time;
 use membership::Source;
+use settings::Derived;
 use std::collections::BTreeSet;
 use tracing::warn;
 use wire::worker::{Report, TaskReport};
@@ -48,6 +49,10 @@
     pub heard: Option<Time>,
     /// No report that it is known to have been answered came later than that.
     pub answered: Time,
+    /// Since when this leader has taken it for up.
+    pub up_since: Time,
+    /// It was silent for too long and is given back.
+    pub given_up: bool,
     pub listed: bool,
     /// Cloud takes it away at that time.
     pub notice_until: Option<Time>,
@@ -83,6 +88,8 @@
             stays: false,
             heard: None,
             answered: now,
+            up_since: now,
+            given_up: false,
             listed: false,
             notice_until: None,
             tasks: Vec::new(),
@@ -106,12 +113,30 @@
         self.spot = r.spot;
         self.token_seen = self.token_seen.max(r.token);
         self.heard = later(self.heard, came);
+        self.is_up(now);
+        self.notice_until = r.notice_s.map(|s| now + s);
+        self.tasks.clone_from(&r.tasks);
+    }
+
+    /// It is up, whether it was heard or the list says so.
+    pub fn is_up(&mut self, now: Time) {
         if self.life == Life::Booting {
             self.life = Life::Up;
-            self.idle_since = now;
+            (self.up_since, self.idle_since) = (now, now);
         }
-        self.notice_until = r.notice_s.map(|s| now + s);
-        self.tasks.clone_from(&r.tasks);
+    }
+
+    /// How long nothing has been heard of it, if it is up.
+    pub fn silence(&self, now: Time) -> Time {
+        match self.life {
+            Life::Up => now - self.heard.unwrap_or(self.up_since),
+            _ => 0.0,
+        }
+    }
+
+    /// Whether it is up, but has missed reports: no work goes there.
+    pub fn quiet(&self, now: Time, d: &Derived) -> bool {
+        self.silence(now) > d.silent_s / 2.0
     }
 
     /// A report that no command had asked for came to a node at `came`.
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Pool;
 use crate::job::{Job, Place};
 use crate::leader::Role;
-use crate::machine::Life;
+use crate::machine::{Life, Machine};
 use crate::record::{page_room, StoredPlacement};
 use crate::Core;
 use plan::{Amounts, Busy, Problem, Victim};
@@ -230,14 +230,13 @@
         for m in l.machines.values().filter(|m| m.takes_work()) {
             let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
             let Some(zone) = zones.iter().position(|z| *z == m.zone) else { continue };
-            let silent = m.life == Life::Up && now - m.heard.unwrap_or(m.since) > self.d.silent_s / 2.0;
-            if silent {
+            if m.quiet(now, &self.d) || m.heard.is_none() && l.fleet.reach.is_dark(&m.zone) {
                 continue;
             }
             let t = &types[kind];
-            let ready = match m.life {
-                Life::Up => now,
-                _ => (m.since + t.boot_s * 1.1).max(now + 2.0),
+            let ready = match m.heard {
+                Some(_) => now,
+                None => (m.since + t.boot_s * 1.1).max(now + 2.0),
             };
             index.insert(&m.id, machines.len());
             names.push(m.id.clone());
@@ -559,7 +558,7 @@
     /// and a reserve for what usually comes.
     fn set_targets(&mut self, p: &Problem, made: &plan::Plan, types: &[wire::cloud::MachineType]) {
         let now = self.now;
-        let reserve_share = self.operator.reserve;
+        let (reserve_share, d) = (self.operator.reserve, self.d);
         let Role::Leader(l) = &mut self.role else { return };
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut rooms: BTreeMap<Pool, f64> = BTreeMap::new();
@@ -570,9 +569,12 @@
             l.jobs.values().flat_map(|j| j.places.values()).map(|p| p.machine.as_str()).collect();
         let mut at_hand: BTreeMap<(&str, &str), u32> = BTreeMap::new();
         let mut idle: BTreeMap<(&str, &str), u32> = BTreeMap::new();
-        for m in l.machines.values().filter(|m| m.takes_work() && !placed.contains(m.id.as_str())) {
+        // What is out of reach is not there.
+        let reach = &l.fleet.reach;
+        let there = |m: &&Machine| m.takes_work() && !reach.is_dark(&m.zone);
+        for m in l.machines.values().filter(there).filter(|m| !placed.contains(m.id.as_str())) {
             *at_hand.entry((&m.machine_type, &m.zone)).or_insert(0) += 1;
-            *idle.entry((&m.machine_type, &m.zone)).or_insert(0) += u32::from(m.life == Life::Up);
+            *idle.entry((&m.machine_type, &m.zone)).or_insert(0) += u32::from(m.heard.is_some());
         }
         for u in &made.unmet {
             // Work that will be in time where it is planned needs no machine
@@ -647,10 +649,10 @@
         let mut used: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut booting: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut have: BTreeMap<Pool, u32> = BTreeMap::new();
-        for m in l.machines.values().filter(|m| m.takes_work()) {
+        for m in l.machines.values().filter(there) {
             let pool = (m.machine_type.clone(), m.spot);
             *have.entry(pool.clone()).or_insert(0) += 1;
-            if m.life == Life::Booting {
+            if m.heard.is_none() && !m.quiet(now, &d) && !placed.contains(m.id.as_str()) {
                 *booting.entry(pool).or_insert(0) += 1;
             } else if placed.contains(m.id.as_str()) {
                 *used.entry(pool).or_insert(0.0) += 1.0;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -600,23 +600,25 @@
             }
         }
         l.relays.sweep(now, over);
-        let up = l.machines.values().filter(|m| m.life == Life::Up && m.heard.is_some()).count();
-        let silent: Vec<String> = l
-            .machines
-            .values()
-            .filter(|m| m.life == Life::Up)
-            .filter(|m| now - m.heard.unwrap_or(l.since).max(m.since) > silent_s)
-            .map(|m| m.id.clone())
-            .collect();
+        self.look_at_zones();
+        let dark_hold_s = self.d.dark_hold_s;
+        let Role::Leader(l) = &mut self.role else { return };
+        let reach = &l.fleet.reach;
+        // What is cut off with its zone may be back in seconds.
+        let held = |m: &Machine| reach.dark_since(&m.zone).is_some_and(|since| now - since < dark_hold_s);
+        let up = |m: &&Machine| m.life == Life::Up && !reach.is_dark(&m.zone);
+        let silent = l.machines.values().filter(|m| m.silence(now) > silent_s);
+        let (dark, silent): (Vec<&Machine>, Vec<&Machine>) = silent.partition(|m| held(m));
+        let ended = dark.iter().filter(|m| surely_over(&l.relays, m.answered)).map(|m| m.id.clone());
+        let ended: Vec<String> = ended.collect();
+        let silent: Vec<String> = silent.iter().map(|m| m.id.clone()).collect();
         // When many fall silent at once it is rather the network: their
         // tasks go on, and only their leases' end is waited for. Judged on all
         // that missed a report, not on those silent for long: these come one
         // by one, and a cut leader once gave up its whole fleet that way.
-        let fresh = l
-            .machines
-            .values()
-            .filter(|m| m.heard.is_some_and(|h| now - h < silent_s / 2.0) && m.life == Life::Up)
-            .count();
+        let fresh = |m: &&Machine| m.heard.is_some_and(|h| now - h < silent_s / 2.0);
+        let fresh = l.machines.values().filter(up).filter(fresh).count();
+        let up = l.machines.values().filter(up).filter(|m| m.heard.is_some()).count();
         let many = up > 2 && fresh * 3 < up * 2;
         let mut leave = Vec::new();
         for id in &silent {
@@ -625,14 +627,14 @@
             if lease_over || (!many && m.heard.is_some()) {
                 warn!(machine = %id, lease_over, "silent, giving it up");
                 m.life = Life::Leaving;
+                m.given_up = true;
                 l.plan_dirty = true;
                 leave.push((id.clone(), lease_over));
             }
         }
-        for (id, lease_over) in leave {
-            if lease_over {
-                self.lose_machine(&id, false);
-            }
+        let lost = leave.into_iter().filter(|(_, lease_over)| *lease_over).map(|(id, _)| id);
+        for id in ended.into_iter().chain(lost) {
+            self.lose_machine(&id, false);
         }
         // A machine given up earlier whose lease has ended since.
         let Role::Leader(l) = &mut self.role else { return };
@@ -648,6 +650,23 @@
         }
     }
 
+    /// Which zones are out of reach.
+    fn look_at_zones(&mut self) {
+        let (now, d) = (self.now, self.d);
+        let Role::Leader(l) = &mut self.role else { return };
+        // A leader hears little at first.
+        if now - l.since < d.silent_s / 2.0 {
+            return;
+        }
+        let machines = l.machines.values().filter(|m| m.life == Life::Up);
+        let heard = machines.map(|m| (m.zone.as_str(), m.heard.is_some() && !m.quiet(now, &d)));
+        if l.fleet.reach.look(now, heard) {
+            let dark: Vec<&str> = l.fleet.reach.dark().collect();
+            warn!(?dark, "zones out of reach");
+            l.plan_dirty = true;
+        }
+    }
+
     /// Every task of `machine` is surely gone.
     pub(crate) fn lose_machine(&mut self, machine: &str, remove: bool) {
         let now = self.now;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,10 +7,12 @@
 //! ([`Spread`]). `docs/gateways.md` has the safety argument.
 
 mod gateway;
+mod reach;
 mod relays;
 mod spread;
 
 pub use gateway::{Act, Gateway, GatewayGuards};
+pub use reach::Reach;
 pub use relays::{Relays, Reply, Source};
 pub use spread::{Lateness, Member, Spread};
 
--- /dev/null
+++ b/crates/membership/src/reach.rs
@@ -0,0 +1,68 @@
+//! Which zones are out of reach: most of their machines are silent at once while
+//! others report. What is silent there is rather cut off than broken, and may be
+//! back in seconds.
+
+use crate::Time;
+use std::collections::BTreeMap;
+
+/// Machines of a zone below which nothing is said of it as a whole.
+const FEWEST: usize = 4;
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Count {
+    up: usize,
+    heard: usize,
+}
+
+/// Zones out of reach, from what the leader hears. A state machine without clock.
+#[derive(Debug, Default)]
+pub struct Reach {
+    /// Zones that are dark, since when.
+    dark: BTreeMap<String, Time>,
+}
+
+impl Reach {
+    /// Looks at all machines that are up: the zone of each, and whether it was
+    /// heard lately. A zone gets dark when less than a third of its machines
+    /// are heard and more than half of all others, and light again when half
+    /// are heard. Returns whether anything changed.
+    pub fn look<'a>(&mut self, now: Time, machines: impl Iterator<Item = (&'a str, bool)>) -> bool {
+        let mut zones: BTreeMap<&str, Count> = BTreeMap::new();
+        let mut all = Count::default();
+        for (zone, heard) in machines.filter(|(zone, _)| !zone.is_empty()) {
+            let count = zones.entry(zone).or_default();
+            for c in [count, &mut all] {
+                c.up += 1;
+                c.heard += usize::from(heard);
+            }
+        }
+        let mut changed = false;
+        for (zone, c) in zones {
+            let others = Count { up: all.up - c.up, heard: all.heard - c.heard };
+            if self.dark.contains_key(zone) {
+                if c.heard * 2 >= c.up {
+                    self.dark.remove(zone);
+                    changed = true;
+                }
+            } else if c.up >= FEWEST && c.heard * 3 < c.up && others.heard * 2 > others.up {
+                self.dark.insert(zone.to_string(), now);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Since when `zone` has been out of reach.
+    pub fn dark_since(&self, zone: &str) -> Option<Time> {
+        self.dark.get(zone).copied()
+    }
+
+    pub fn is_dark(&self, zone: &str) -> bool {
+        self.dark.contains_key(zone)
+    }
+
+    /// Zones that are out of reach now.
+    pub fn dark(&self) -> impl Iterator<Item = &str> {
+        self.dark.keys().map(String::as_str)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -281,6 +281,10 @@
     pub lease_over_s: f64,
     /// Silence after which a machine is looked at: three reports missed.
     pub silent_s: f64,
+    /// Machines of a zone that is out of reach are kept that long: three leases. The
+    /// first shows that nothing runs there any more; two more cost about what
+    /// the same machines would cost that are rented anew and have to boot.
+    pub dark_hold_s: f64,
     /// A worker heard within this time can reach the node: two reports at
     /// their longest spacing, and half of one for the way.
     pub heard_s: f64,
@@ -317,6 +321,7 @@
             worker_calls: (s.params.resources.max_connections / 20).max(2),
             lease_over_s: w.lease_s * DRIFT + 0.5,
             silent_s: w.report_s * 3.5,
+            dark_hold_s: w.lease_s * 3.0,
             heard_s: w.report_s * 3.0,
             tick_s: w.report_s / 3.0,
             state_timeout_s: 1.5,
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -193,6 +193,13 @@
     pub direct_calls: u64,
     /// Machines that a controller deleted, with when.
     pub deleted: Vec<(f64, String)>,
+    /// Machines that a leader would still give work to, long after they were gone.
+    pub ghosts: BTreeSet<String>,
+    /// Machines given up as silent that had been answered within their lease and
+    /// did not hang.
+    pub given_up_alive: BTreeSet<String>,
+    /// When machines were gone.
+    gone: BTreeMap<String, f64>,
     /// Longest time without a node that answers reports.
     pub leaderless_s: f64,
     last_lead: f64,
@@ -264,6 +271,9 @@
             changes: 0,
             direct_calls: 0,
             deleted: Vec::new(),
+            ghosts: BTreeSet::new(),
+            given_up_alive: BTreeSet::new(),
+            gone: BTreeMap::new(),
             leaderless_s: 0.0,
             last_lead: 0.0,
             guards: setup.guards,
@@ -774,6 +784,7 @@
     fn drop_deleted(&mut self) {
         for id in std::mem::take(&mut self.cloud.deleted) {
             self.workers.remove(&id);
+            self.gone.entry(id).or_insert(self.now);
         }
     }
 
@@ -807,6 +818,7 @@
         for core in self.nodes.iter().filter_map(|n| n.core.as_ref()) {
             self.quarantined.extend(core.quarantined().map(String::from));
         }
+        self.count_misjudged();
         let led = self.nodes.iter().any(|n| n.core.as_ref().is_some_and(Core::is_leader));
         if led {
             self.last_lead = now;
@@ -814,6 +826,21 @@
         self.leaderless_s = self.leaderless_s.max(now - self.last_lead);
     }
 
+    /// What leaders take for alive that is gone, and the other way round.
+    fn count_misjudged(&mut self) {
+        let now = self.now;
+        let (lease_s, silent_s) = (self.settings.params.workers.lease_s, Derived::from(&self.settings).silent_s);
+        for core in self.nodes.iter().filter_map(|n| n.core.as_ref()) {
+            let long_gone = |id: &&str| self.gone.get(*id).is_some_and(|at| now - at > silent_s);
+            self.ghosts.extend(core.usable_machines().filter(long_gone).map(String::from));
+            let alive = |id: &&str| {
+                let worker = self.workers.get(*id);
+                worker.is_some_and(|w| now < w.renewed + lease_s && now - w.hung_until > silent_s)
+            };
+            self.given_up_alive.extend(core.given_up().filter(alive).map(String::from));
+        }
+    }
+
     fn tasks_go_on(&mut self) {
         let now = self.now;
         let p = self.settings.params.workers.clone();
