--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -714,6 +714,16 @@
         }
     }
 
+    /// A line on a job that is over: how long it took, and whether that was late.
+    fn tell_over(&self, id: &str) {
+        let Role::Leader(l) = &self.role else { return };
+        let Some(job) = l.jobs.get(id) else { return };
+        let s = &job.spec;
+        let status = if job.status == JobStatus::Done { "done" } else { "withdrawn" };
+        let (took_s, late) = (self.now - job.submitted, self.now > self.deadline(job, 1.0));
+        info!(job = %id, class = %s.class, team = %s.team, status, took_s, late, "job over");
+    }
+
     /// Drops what a final job still plans; forgets it once nothing is left.
     pub(crate) fn settle_final(&mut self, id: &str) {
         let Role::Leader(l) = &mut self.role else { return };
@@ -734,6 +744,8 @@
         }
         if job.places.is_empty() && job.clean() {
             let f = Finished::of(job);
+            self.tell_over(id);
+            let Role::Leader(l) = &mut self.role else { return };
             l.jobs.remove(id);
             self.finals.put(id, f.over.status, f.over.done);
             self.finished(f);
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -197,7 +197,7 @@
         times.filter_map(|o| o.times).fold(1.0, f64::max)
     }
 
-    fn deadline(&self, job: &Job, times: f64) -> f64 {
+    pub(crate) fn deadline(&self, job: &Job, times: f64) -> f64 {
         let s = &job.spec;
         if let Some(d) = s.due_s {
             return job.submitted + d * times;
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -5,6 +5,7 @@
 use plan::Amounts;
 use serde::Deserialize;
 use std::collections::BTreeMap;
+use tracing::info;
 use wire::job::{valid_id, JobSpec, JobStatus, JobView, Shape};
 use wire::state::{Change, Condition, Item, Txn};
 
@@ -153,6 +154,8 @@
         }
         match r {
             StateReply::Committed(revision) => {
+                let s = &c.record.spec;
+                info!(job = %id, class = %s.class, team = %s.team, tasks = s.tasks, "job accepted");
                 self.note_record(id, &c.record, revision, c.era);
                 self.users.created.push((id.to_string(), c.record, revision));
                 // Repetitions came later than the change was sent: the job may
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -181,7 +181,9 @@
                         if t.state == TaskState::Running && p.running_since.is_none() {
                             p.running_since = Some(now);
                             job.ran_on.insert(report.machine.clone());
-                            job.first_start.get_or_insert(now);
+                            if job.first_start.replace(job.first_start.unwrap_or(now)).is_none() {
+                                info!(job = %job_id, waited_s = now - job.submitted, "job started");
+                            }
                         }
                         if first && job.places.values().filter(|p| p.seen.is_some()).count() == 1 {
                             job.touch_main();
--- /dev/null
+++ b/crates/report/tests/served.rs
@@ -0,0 +1,46 @@
+//! Counting by class and team.
+
+use anisecroft_report::{aims, Group, Served};
+
+/// Two controllers say the same of a job, one is still on its way, one is
+/// cancelled, and other lines are of no interest.
+#[test]
+fn jobs_are_counted_once_by_class_and_team() {
+    let mut s = Served::default();
+    for line in [
+        r#"  1.2 n-0  INFO job accepted job="req-1" class="tiles" team="maps" tasks=4"#,
+        r#"  1.3 n-1  INFO job accepted job=req-2 class=tiles team=maps tasks=4"#,
+        r#"  1.4 n-1  INFO job accepted job=req-3 class=train team=labs tasks=1"#,
+        r#"  1.5 n-1  INFO job accepted job=req-4 class=train team=maps tasks=1"#,
+        r#"  2.0 n-0  INFO job started job=req-1 waited_s=0.8"#,
+        r#"  2.0 n-0  INFO machine up machine=vm-1 job accepted-looking"#,
+        r#"  9.0 n-0  INFO job over job=req-1 class=tiles team=maps status=done took_s=7.8 late=false"#,
+        r#"  9.4 n-1  INFO job over job=req-1 class=tiles team=maps status=done took_s=8.2 late=true"#,
+        r#"  9.5 n-1  INFO job over job=req-4 class=train team=maps status=withdrawn took_s=8.2 late=false"#,
+    ] {
+        s.line(line);
+    }
+    let rows: Vec<_> =
+        s.rows().into_iter().map(|r| (r.group, r.name, r.asked, r.started, r.done, r.in_time)).collect();
+    assert_eq!(
+        rows,
+        [
+            (Group::Class, "tiles".to_string(), 2, 1, 1, 1),
+            (Group::Class, "train".to_string(), 1, 0, 0, 0),
+            (Group::Team, "labs".to_string(), 1, 0, 0, 0),
+            (Group::Team, "maps".to_string(), 2, 1, 1, 1),
+        ]
+    );
+}
+
+#[test]
+fn entries_of_the_journal_tell_each_classs_aims() {
+    let entry = r#"{"site":"maps","days":[{"name":"rough","seed":3,"aims":[
+        ["wait tiles 30 s: 0.75 (aim 0.9)",0.4],["useful: 0.5 (aim 0.6)",0.4],
+        ["deadline tiles 1.5x: 0.5 (aim 0.9)",0.1]]}]}
+        seal"#;
+    let found = aims(entry).unwrap();
+    let short: Vec<_> = found.iter().map(|a| (a.class.as_str(), a.aim.as_str(), a.share)).collect();
+    assert_eq!(short, [("tiles", "wait tiles 30 s", 0.75), ("tiles", "deadline tiles 1.5x", 0.5)]);
+    assert!(aims("not json").is_err());
+}
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -829,7 +829,8 @@
     /// What leaders take for alive that is gone, and the other way round.
     fn count_misjudged(&mut self) {
         let now = self.now;
-        let (lease_s, silent_s) = (self.settings.params.workers.lease_s, Derived::from(&self.settings).silent_s);
+        let (lease_s, silent_s) =
+            (self.settings.params.workers.lease_s, Derived::from(&self.settings).silent_s);
         for core in self.nodes.iter().filter_map(|n| n.core.as_ref()) {
             let long_gone = |id: &&str| self.gone.get(*id).is_some_and(|at| now - at > silent_s);
             self.ghosts.extend(core.usable_machines().filter(long_gone).map(String::from));
