--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Pool;
 use crate::job::{Job, Place};
 use crate::leader::Role;
-use crate::machine::Machine;
+use crate::machine::{Life, Machine};
 use crate::record::{page_room, StoredPlacement};
 use crate::Core;
 use plan::{Amounts, Busy, Problem, Victim};
@@ -23,9 +23,6 @@
     /// Where its jobs run cheapest: pool, machines per job (running means of
     /// the number and of its square), and the pool's boot time.
     pub pool: Option<Usual>,
-    /// Its latest job's band, and whether that was a gang.
-    pub band: u8,
-    pub gangs: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -36,16 +33,6 @@
     pub boot_s: f64,
 }
 
-impl Usual {
-    /// What usually comes while a machine boots, `rate` jobs a second: the mean
-    /// number of machines and, as jobs come and end like throws of dice, the
-    /// variance of how many machines' worth come less how many end.
-    fn surplus(&self, rate: f64) -> (f64, f64) {
-        let jobs = rate * self.boot_s;
-        (jobs * self.machines, 2.0 * jobs * self.squared)
-    }
-}
-
 /// Arrivals that the rate of a class is taken from.
 const ARRIVALS: usize = 8;
 
@@ -148,42 +135,6 @@
 const STEPS_A_MACHINE: u64 = 8;
 const STEPS_A_PLACE: u64 = 3;
 
-/// Keeps machines for gangs that are about to come: as many of each type as a bad
-/// moment's surplus takes while one boots, the emptiest. (Filled with arrays at
-/// once, they were emptied again by stopping these: a sixth of an array's starts
-/// were lost that way.)
-fn keep_for_gangs(
-    now: f64,
-    classes: &BTreeMap<String, ClassStats>,
-    types: &[MachineType],
-    machines: &mut [plan::Machine],
-) {
-    for (kind, t) in types.iter().enumerate() {
-        let mut bands: BTreeMap<u8, (f64, f64)> = BTreeMap::new();
-        for class in classes.values().filter(|c| c.gangs && c.band > 0) {
-            let Some(u) = class.pool.as_ref().filter(|u| u.pool.0 == t.name) else { continue };
-            let sums = bands.entry(class.band).or_default();
-            let (mean, variance) = u.surplus(class.rate(now));
-            *sums = (sums.0 + mean, sums.1 + variance);
-        }
-        let mut free: Vec<(f64, usize)> = machines
-            .iter()
-            .enumerate()
-            .filter(|(_, m)| m.kind == kind && m.ready <= now)
-            .map(|(i, m)| (m.free.accelerators + m.free.cores / 1e3, i))
-            .filter(|f| f.0 > 0.0)
-            .collect();
-        free.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let mut free = free.into_iter();
-        for (band, (mean, variance)) in bands.into_iter().rev() {
-            let n = mean.min(SURPLUS * variance.sqrt()).round() as usize;
-            for (_, i) in free.by_ref().take(n) {
-                machines[i].kept_for = band;
-            }
-        }
-    }
-}
-
 impl Core {
     fn expected_run(&self, job: &Job, ratio: f64) -> f64 {
         let full = if job.spec.shape == Shape::Service { 3600.0 } else { job.spec.estimate_s * ratio };
@@ -251,7 +202,6 @@
         }
         let Role::Leader(l) = &mut self.role else { return };
         let stats = l.classes.entry(spec.class.clone()).or_default();
-        (stats.band, stats.gangs) = (band(spec), spec.shape == Shape::Gang);
         stats.arrived(at, best.map(|(_, pool, machines, boot)| (pool, machines, boot)));
     }
 
@@ -299,7 +249,6 @@
                 busy: Vec::new(),
                 images: m.cached(t.cache_gb),
                 slowness: m.slowness,
-                kept_for: 0,
             });
         }
         let mut teams: Vec<plan::Team> = Vec::new();
@@ -393,7 +342,6 @@
             free.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             kept.extend(free.into_iter().take(*n as usize).map(|f| f.1));
         }
-        keep_for_gangs(now, &l.classes, &types, &mut machines);
         let mut open_jobs: Vec<(u8, usize, &String, &Job)> = Vec::new();
         let mut ids: Vec<String> = Vec::new();
         let mut jobs: Vec<plan::Job> = Vec::new();
@@ -710,13 +658,16 @@
                 *used.entry(pool).or_insert(0.0) += 1.0;
             }
         }
-        // What usually comes while a machine boots, by pool.
+        // What usually comes while a machine boots, by pool: its mean and, as
+        // jobs come and end like throws of dice, the variance of how many
+        // machines' worth come less how many end.
         let mut usual: BTreeMap<Pool, (f64, f64)> = BTreeMap::new();
         for class in l.classes.values() {
             if let Some(u) = &class.pool {
-                let (mean, variance) = u.surplus(class.rate(now));
+                let jobs = class.rate(now) * u.boot_s;
                 let sums = usual.entry(u.pool.clone()).or_insert((0.0, 0.0));
-                *sums = (sums.0 + mean, sums.1 + variance);
+                sums.0 += jobs * u.machines;
+                sums.1 += 2.0 * jobs * u.squared;
             }
         }
         // Work that ends gives its machines to what comes, so with many jobs
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -92,8 +92,6 @@
     pub images: Vec<u32>,
     /// Learned run time ratio of this machine, 1 when nothing is known.
     pub slowness: f64,
-    /// Work of a lower band is not to start here, unless it is guaranteed.
-    pub kept_for: u8,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -732,7 +730,6 @@
             && (!machine.spot || job.spot)
             && (machine.spot || !job.spot_only)
             && job.zone.is_none_or(|z| z == machine.zone)
-            && (job.band >= machine.kept_for || job.guaranteed)
             && !job.avoid.contains(&m)
     }
 
--- a/crates/plan/tests/cura.rs
+++ b/crates/plan/tests/cura.rs
@@ -25,7 +25,6 @@
         busy: vec![],
         images: vec![1],
         slowness: 1.0,
-        kept_for: 0,
     }
 }
 
