--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Pool;
 use crate::job::{Job, Place};
 use crate::leader::Role;
-use crate::machine::{Life, Machine};
+use crate::machine::Machine;
 use crate::record::{page_room, StoredPlacement};
 use crate::Core;
 use plan::{Amounts, Busy, Problem, Victim};
