--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -250,7 +250,7 @@
             if !known && !first {
                 info!(machine = %item.id, "unexpected machine in the list, adopted");
             }
-            m.listed = true;
+            (m.listed, m.doubted) = (true, None);
             // A machine that was heard first is older than that. (After a takeover
             // none was once old enough to be given back, for a minute.)
             m.since = m.since.min(now - item.age_s);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,7 +18,7 @@
 pub use io::*;
 use leader::{Lead, Role};
 pub use membership::GatewayGuards;
-use membership::{Gateway, Lateness, Spread};
+use membership::{Gateway, Lateness, Presence, Spread};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use settings::{Derived, Operator, Settings};
 use std::collections::{BTreeMap, VecDeque};
@@ -249,6 +249,7 @@
     pub(crate) workers_heard: BTreeMap<String, Time>,
     /// The other controllers' views, with when they came.
     pub(crate) peers: BTreeMap<String, (wire::peer::View, Time)>,
+    pub(crate) presence: Presence,
     pub(crate) operator: Operator,
     pub(crate) gateway: Gateway,
     pub(crate) spread: Spread,
@@ -301,6 +302,7 @@
             state_bad_since: None,
             workers_heard: BTreeMap::new(),
             peers: BTreeMap::new(),
+            presence: Presence::default(),
             operator,
             settings,
             d,
@@ -338,6 +340,8 @@
             }
             Input::Peer(view) => {
                 if self.settings.peers.iter().any(|p| p.node == view.node) {
+                    let gap = self.view_gap_s();
+                    self.presence.heard(self.now, &view.node, gap);
                     self.peers.insert(view.node.clone(), (view, self.now));
                 }
             }
@@ -422,6 +426,11 @@
         self.machines().filter(up).map(|m| m.id.as_str())
     }
 
+    /// Machines that this leader gives back or takes for faulty.
+    pub fn leaving(&self) -> impl Iterator<Item = &str> {
+        self.machines().filter(|m| !m.takes_work()).map(|m| m.id.as_str())
+    }
+
     /// Machines that this leader has given up as silent and that may be there yet.
     pub fn given_up(&self) -> impl Iterator<Item = &str> {
         self.machines().filter(|m| m.given_up).map(|m| m.id.as_str())
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -49,6 +49,9 @@
     pub heard: Option<Time>,
     /// No report that it is known to have been answered came later than that.
     pub answered: Time,
+    /// When it was first heard, while nothing else shows that it is there: the
+    /// report may have been held for minutes and speak of a machine long gone.
+    pub doubted: Option<Time>,
     /// Since when this leader has taken it for up.
     pub up_since: Time,
     /// It was silent for too long and is given back.
@@ -88,6 +91,7 @@
             stays: false,
             heard: None,
             answered: now,
+            doubted: None,
             up_since: now,
             given_up: false,
             listed: false,
@@ -200,7 +204,8 @@
     }
 
     pub fn takes_work(&self) -> bool {
-        self.life != Life::Leaving && self.notice_until.is_none() && !self.sick && self.accused.is_none()
+        let troubled = self.sick || self.accused.is_some() || self.doubted.is_some();
+        self.life != Life::Leaving && self.notice_until.is_none() && !troubled
     }
 }
 
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -238,9 +238,24 @@
         }
     }
 
+    /// Longest usual time between two views of a node.
+    pub(crate) fn view_gap_s(&self) -> f64 {
+        2.0 * self.d.renew_s + self.d.relay_timeout_s
+    }
+
+    /// Silence after which a machine is given up, longer while nodes are away: its
+    /// worker may have to try one after the other. (With two of three nodes cut
+    /// off, machines that went on were once given up.)
+    pub(crate) fn patience_s(&self) -> f64 {
+        let nodes = self.settings.peers.iter().map(|p| p.node.as_str());
+        let away = self.presence.away(self.now, self.view_gap_s(), self.d.silent_s, nodes);
+        let tour = self.d.tour_s * (away + 1) as f64;
+        self.d.silent_s.max(self.settings.params.workers.report_s * 1.25 + tour)
+    }
+
     /// This node and the others that answer reports, as far as workers go.
     pub(crate) fn members(&self) -> (Member, Vec<Member>) {
-        let fresh = 2.0 * self.d.renew_s + self.d.relay_timeout_s;
+        let fresh = self.view_gap_s();
         let others = self.peers.values().filter(|(v, at)| v.serves && self.now - at < fresh);
         let others = others.map(|(v, _)| Member {
             node: v.node.clone(),
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -78,6 +78,7 @@
     /// is not newer than the last, or speaks of a machine that is gone.
     pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>, came: Time) -> bool {
         let (now, silent_s) = (self.now, self.d.silent_s);
+        let report_s = self.settings.params.workers.report_s;
         let Role::Leader(l) = &mut self.role else { return false };
         let id = &report.machine;
         // Gateways that come back pass on all that they knew: what was given
@@ -88,8 +89,12 @@
         }
         let m = l.machines.entry(id.clone()).or_insert_with(|| {
             info!(machine = %report.machine, "machine heard that nobody listed yet");
-            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, came)
+            let mut m = Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, came);
+            m.doubted = Some(came);
+            m
         });
+        // Held reports come all at once, those of a worker that goes on do not.
+        m.doubted.take_if(|first| came - *first > report_s / 2.0);
         if m.heard.is_none() {
             info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
                   took_s = now - m.since, "machine up");
@@ -583,7 +588,7 @@
     pub(crate) fn machines_on_time(&mut self) {
         let now = self.now;
         let over = if self.guards.lease_wait { self.d.lease_over_s + self.d.worker_timeout_s } else { 0.0 };
-        let silent_s = self.d.silent_s;
+        let (silent_s, patience_s) = (self.d.silent_s, self.patience_s());
         let alone = !self.guards.relay_wait;
         let surely_over = |relays: &Relays, answered: Time| {
             if alone {
@@ -609,7 +614,7 @@
         // What is cut off with its zone may be back in seconds.
         let held = |m: &Machine| reach.dark_since(&m.zone).is_some_and(|since| now - since < dark_hold_s);
         let up = |m: &&Machine| m.life == Life::Up && !reach.is_dark(&m.zone);
-        let silent = l.machines.values().filter(|m| m.silence(now) > silent_s);
+        let silent = l.machines.values().filter(|m| m.silence(now) > patience_s);
         let (dark, silent): (Vec<&Machine>, Vec<&Machine>) = silent.partition(|m| held(m));
         let ended = dark.iter().filter(|m| surely_over(&l.relays, m.answered)).map(|m| m.id.clone());
         let ended: Vec<String> = ended.collect();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,11 +7,13 @@
 //! ([`Spread`]). `docs/gateways.md` has the safety argument.
 
 mod gateway;
+mod presence;
 mod reach;
 mod relays;
 mod spread;
 
 pub use gateway::{Act, Gateway, GatewayGuards};
+pub use presence::Presence;
 pub use reach::Reach;
 pub use relays::{Relays, Reply, Source};
 pub use spread::{Lateness, Member, Spread};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -279,6 +279,9 @@
     pub worker_calls: usize,
     /// From its last answer on, a worker's lease is over for certain.
     pub lease_over_s: f64,
+    /// A worker that gets no answer tries the next node after that time: its patience
+    /// and the protocol's second.
+    pub tour_s: f64,
     /// Silence after which a machine is looked at: three reports missed.
     pub silent_s: f64,
     /// Machines of a zone that is out of reach are kept that long: three leases. The
@@ -320,6 +323,7 @@
             front_sockets: (s.params.resources.max_connections as f64 * 0.85) as usize,
             worker_calls: (s.params.resources.max_connections / 20).max(2),
             lease_over_s: w.lease_s * DRIFT + 0.5,
+            tour_s: WORKER_TIMEOUT_S + 1.0,
             silent_s: w.report_s * 3.5,
             dark_hold_s: w.lease_s * 3.0,
             heard_s: w.report_s * 3.0,
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -18,6 +18,7 @@
     history: Vec<(f64, Vec<ListedMachine>)>,
     answered: BTreeMap<String, Vec<String>>,
     next: u32,
+    by_zone: BTreeMap<String, usize>,
     pub capacity: usize,
     pub lag: f64,
     pub deleted: Vec<String>,
@@ -29,6 +30,11 @@
         self.next - 1
     }
 
+    /// The same in one zone.
+    pub fn rented_in(&self, zone: &str) -> usize {
+        self.by_zone.get(zone).copied().unwrap_or(0)
+    }
+
     pub fn new(types: Vec<MachineType>, capacity: usize, lag: f64) -> Self {
         Cloud {
             types,
@@ -36,6 +42,7 @@
             history: Vec::new(),
             answered: BTreeMap::new(),
             next: 1,
+            by_zone: BTreeMap::new(),
             capacity,
             lag,
             deleted: Vec::new(),
@@ -85,6 +92,7 @@
                     return CloudReply::NoCapacity;
                 }
                 let mut names = Vec::new();
+                *self.by_zone.entry(r.zone.clone()).or_default() += room;
                 for _ in 0..room {
                     let id = format!("vm-{:06}", self.next);
                     let addr = format!("10.9.{}.{}:9000", self.next / 250, self.next % 250 + 1);
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -1152,6 +1152,19 @@
         }
     }
 
+    /// Workers that go on, and that no leader would give work to or is giving back.
+    pub fn unheard(&self) -> Vec<&str> {
+        let cores = || self.nodes.iter().filter_map(|n| n.core.as_ref());
+        let known: BTreeSet<&str> = cores().flat_map(|c| c.usable_machines().chain(c.leaving())).collect();
+        let live = self.workers.iter().filter(|(_, w)| self.now >= w.hung_until && !w.faulty);
+        live.map(|(id, _)| id.as_str()).filter(|id| !known.contains(id)).collect()
+    }
+
+    /// Machines rented in a zone so far, gone ones included.
+    pub fn rented_in(&self, zone: &str) -> usize {
+        self.cloud.rented_in(zone)
+    }
+
     /// Machines that there are.
     pub fn machines(&self) -> usize {
         self.cloud.machines.len()
--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -91,3 +91,8 @@
         guards: Guards::default(),
     }
 }
+
+#[allow(dead_code)]
+pub fn derived() -> settings::Derived {
+    settings::Derived::from(&settings())
+}
--- a/crates/testkit/tests/returns.rs
+++ b/crates/testkit/tests/returns.rs
@@ -3,21 +3,129 @@
 
 mod common;
 
-use anisecroft_testkit::{Fault, Sim};
+use anisecroft_testkit::{Fault, Setup, Sim};
 use common::*;
+use rand::{rngs::SmallRng, SeedableRng};
+use wire::job::*;
 
-/// A gateway is cut off with the workers of its zone; their machines are given back
-/// meanwhile. When it returns it passes on all that it knew. (The leader once took
-/// a fleet's third that was long gone for up again, and gave it work.)
+/// A zone is cut off for so long that its machines are given back. When its
+/// gateway returns it passes on all that it knew, to a leader that gave them
+/// back or to one that never knew them. (A third of a fleet that was long gone
+/// was once taken for up again, and had work placed on it.)
 #[test]
 fn what_is_gone_does_not_come_back_with_its_gateway() {
     let mut given_back = 0;
-    for seed in 0..12 {
-        let cut = (40.0 + seed as f64, Fault::ZoneCut { zone: ["a", "b"][seed as usize % 2], for_s: 75.0 });
-        let mut sim = Sim::new(setup(seed, vec![cut]));
-        assert_eq!(sim.run(250.0), [], "seed {seed}");
+    for seed in 0..16 {
+        let (cut, hold) = (40.0 + seed as f64, derived().dark_hold_s + 40.0);
+        let mut faults = vec![(cut, Fault::ZoneCut { zone: "b", for_s: hold })];
+        // All nodes outside start anew, so that nobody there knows any more.
+        if seed % 2 == 1 {
+            let crash = |node| (cut + hold - 12.0, Fault::Crash { node, for_s: 3.0 });
+            faults.extend([0, 2].map(crash));
+        }
+        let mut sim = Sim::new(setup(seed, faults));
+        assert_eq!(sim.run(300.0), [], "seed {seed}");
         given_back += sim.deleted.len();
-        assert_eq!(sim.ghosts.iter().collect::<Vec<_>>(), Vec::<&String>::new(), "seed {seed}");
+        assert!(sim.ghosts.is_empty(), "seed {seed}: {:?}", sim.ghosts);
     }
     assert!(given_back > 0);
 }
+
+/// Work that fills `machines` machines for longer than the day.
+fn full(seed: u64, machines: usize) -> Sim {
+    let spec = JobSpec {
+        id: "req-1".into(),
+        team: "fleet".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks: machines as u32 * 4,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 2000.0,
+        ..job(&mut SmallRng::seed_from_u64(1), 0)
+    };
+    let mut s = setup(seed, vec![]);
+    for t in &mut s.settings.params.teams {
+        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
+    }
+    let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: machines, loss: 0.0, ..s });
+    assert_eq!(sim.run(100.0), []);
+    sim
+}
+
+/// A zone that is away for longer than a lease has its work placed anew, but its
+/// machines are kept and nothing is rented there; when it comes back they work
+/// on, and no task runs twice. (They were once given back after three reports,
+/// and as many rented in the very zone that nobody reached.)
+#[test]
+fn a_zone_that_comes_back_is_still_there() {
+    for seed in 0..6 {
+        let mut sim = full(seed, 24);
+        let (deleted, starts) = (sim.deleted.len(), sim.starts);
+        let zone = ["a", "b"][seed as usize % 2];
+        sim.strike(Fault::ZoneCut { zone, for_s: 50.0 });
+        assert_eq!(sim.run(112.0), [], "seed {seed}");
+        let rented = sim.rented_in(zone);
+        assert_eq!(sim.run(150.0), [], "seed {seed}");
+        assert_eq!(sim.rented_in(zone), rented, "seed {seed}: rented in zone {zone}");
+        assert_eq!(sim.run(260.0), [], "seed {seed}");
+        assert_eq!(&sim.deleted[deleted..], [], "seed {seed}");
+        assert!(sim.starts >= starts + 40, "seed {seed}: its work was placed anew");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+        assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
+    }
+}
+
+/// Every live machine is heard within a report's interval after nodes and links
+/// are back, whichever way its report comes.
+#[test]
+fn who_comes_back_is_heard_within_a_report() {
+    let d = derived();
+    let report_s = settings().params.workers.report_s;
+    for seed in 0..8 {
+        let mut sim = full(seed, 40);
+        let away = 3.0 + seed as f64;
+        sim.strike(match seed % 4 {
+            0 => Fault::ZoneCut { zone: "b", for_s: away },
+            1 => Fault::PeersCut { node: 1, for_s: away },
+            2 => Fault::Silent { node: 2, for_s: away },
+            _ => Fault::StateOutage { for_s: away },
+        });
+        for node in 0..3 {
+            if (seed + node as u64) % 3 == 0 {
+                sim.strike(Fault::Crash { node, for_s: away });
+            }
+        }
+        // A worker gives its report up and tries the next node a second later.
+        let retry = d.worker_timeout_s + 1.0;
+        let takeover = d.leader_ttl_s + d.renew_s;
+        assert_eq!(sim.run(100.0 + away + takeover + report_s * 1.25 + retry), [], "seed {seed}");
+        assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+    }
+}
+
+/// All controllers crash while a third of the machines hang: what goes on is kept,
+/// and what hangs for good is replaced.
+#[test]
+fn all_controllers_crash_while_a_third_hangs() {
+    for seed in 0..6 {
+        let mut sim = full(seed, 24);
+        for nth in (0..24).step_by(3) {
+            sim.strike(Fault::Hang { nth, for_s: if seed % 2 == 0 { 6.0 } else { 1000.0 } });
+        }
+        for node in 0..3 {
+            sim.strike(Fault::Crash { node, for_s: 4.0 });
+        }
+        assert_eq!(sim.run(260.0), [], "seed {seed}");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+        assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
+        if seed % 2 == 0 {
+            assert_eq!(sim.deleted, [], "seed {seed}");
+        } else {
+            assert_eq!(sim.deleted.len(), 8, "seed {seed}");
+        }
+    }
+}
