--- /dev/null
+++ b/crates/core/src/floors.rs
@@ -0,0 +1,110 @@
+//! Classes and teams under their floors, for one plan (see `plan::floor`).
+
+use crate::planning::needs;
+use plan::floor::{grants, under, Claim, Floor};
+use plan::{Amounts, Busy, Job, Shape};
+use std::collections::BTreeMap;
+use wire::job::JobSpec;
+
+/// What each class and team holds and asks for.
+pub struct Floors {
+    floor: Floor,
+    /// Size of all machines together.
+    total: Amounts,
+    /// Classes and teams by name; the flag keeps the two apart.
+    groups: BTreeMap<(bool, String), usize>,
+    held: Vec<f64>,
+    claims: Vec<Claim>,
+    /// The plan's job that each claim is of.
+    of: Vec<usize>,
+}
+
+impl Floors {
+    pub fn new(floor: Floor, sizes: impl Iterator<Item = Amounts>) -> Self {
+        let mut total = Amounts::new(0.0, 0.0, 0.0);
+        sizes.for_each(|s| total.give(&s));
+        let groups = BTreeMap::new();
+        Floors { floor, total, groups, held: Vec::new(), claims: Vec::new(), of: Vec::new() }
+    }
+
+    fn groups(&mut self, s: &JobSpec) -> [usize; 2] {
+        [(false, &s.class), (true, &s.team)].map(|(team, name)| {
+            let next = self.groups.len();
+            let g = *self.groups.entry((team, name.clone())).or_insert(next);
+            self.held.resize(self.groups.len(), 0.0);
+            g
+        })
+    }
+
+    /// The part of all machines that one task takes.
+    fn each(&self, s: &JobSpec) -> f64 {
+        let (need, all) = (needs(s), &self.total);
+        let part = |x: f64, of: f64| if of > 0.0 { x / of } else { 0.0 };
+        part(need.cores, all.cores)
+            .max(part(need.accelerators, all.accelerators))
+            .max(part(need.memory_gb, all.memory_gb))
+    }
+
+    /// `tasks` tasks of such a job have their places.
+    pub fn hold(&mut self, s: &JobSpec, tasks: usize) {
+        let part = self.each(s) * tasks as f64;
+        for g in self.groups(s) {
+            self.held[g] += part;
+        }
+    }
+
+    /// Job `at` of the plan waits with what it needs.
+    pub fn claim(&mut self, at: usize, s: &JobSpec, job: &Job) {
+        let (groups, each) = (self.groups(s), self.each(s));
+        let (tasks, whole) = (job.waiting.len(), job.shape == Shape::Gang);
+        self.claims.push(Claim { groups, submitted: job.submitted, tasks, each, whole });
+        self.of.push(at);
+    }
+
+    /// Lets what is under its floor go first. Part of a job's tasks becomes a job of
+    /// its own, which the plan has under the same name.
+    pub fn apply(&mut self, now: f64, ids: &mut Vec<String>, jobs: &mut Vec<Job>) -> Starving {
+        let starving = under(now, &self.floor, &self.held, &self.claims);
+        if starving.contains(&true) {
+            let granted = grants(&self.floor, &starving, &self.held, &self.claims);
+            for (&i, n) in self.of.iter().zip(granted).filter(|(_, n)| *n > 0) {
+                let rest = jobs[i].waiting.split_off(n);
+                if rest.is_empty() {
+                    jobs[i].floor = true;
+                    continue;
+                }
+                let first = std::mem::replace(&mut jobs[i].waiting, rest);
+                let part = Job { waiting: first, floor: true, ..jobs[i].clone() };
+                jobs.push(part);
+                ids.push(ids[i].clone());
+            }
+        }
+        let names = self.groups.iter().filter(|(_, &g)| starving[g]);
+        Starving { names: names.map(|(name, _)| name.clone()).collect() }
+    }
+}
+
+/// Classes and teams under their floors.
+pub struct Starving {
+    pub names: Vec<(bool, String)>,
+}
+
+impl Starving {
+    fn has(&self, s: &JobSpec) -> bool {
+        self.names.iter().any(|(team, name)| *name == if *team { &s.team } else { &s.class }[..])
+    }
+
+    /// What they run is not stopped for others. `spec`: of the task's job.
+    pub fn spare<'a>(
+        &self,
+        busy: impl Iterator<Item = &'a mut Busy>,
+        spec: impl Fn(usize) -> Option<&'a JobSpec>,
+    ) {
+        if self.names.is_empty() {
+            return;
+        }
+        for b in busy {
+            b.victim = b.victim.filter(|v| !spec(v.owner).is_some_and(|s| self.has(s)));
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 mod archive;
 mod commit;
 mod fleet;
+mod floors;
 pub mod io;
 mod job;
 mod leader;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -2,11 +2,13 @@
 //! there is goes in; placements, stops and the fleet's targets come out.
 
 use crate::fleet::Pool;
+use crate::floors::Floors;
 use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::Machine;
 use crate::record::{page_room, StoredPlacement};
 use crate::Core;
+use plan::floor::Floor;
 use plan::{Amounts, Busy, Problem, Victim};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use tracing::{debug, info};
@@ -74,9 +76,13 @@
     Amounts::new(s.cores, s.accelerators, s.memory_gb)
 }
 
+fn size_of(t: &MachineType) -> Amounts {
+    Amounts::new(t.cores, t.accelerators, t.memory_gb)
+}
+
 /// What a second of such a task costs on a machine that is full of them.
 fn task_price(t: &MachineType, need: &Amounts, spot: bool) -> Option<f64> {
-    let side = Amounts::new(t.cores, t.accelerators, t.memory_gb).count(need);
+    let side = size_of(t).count(need);
     let price = if spot { t.spot_price } else { t.price };
     (side > 0 && price > 0.0).then(|| price / f64::from(side))
 }
@@ -130,6 +136,11 @@
 /// share. A fifth of this figure let plans come every half second under a backlog.
 const PLAN_STEPS: f64 = 2_000_000.0;
 
+/// Part of the fleet that classes and teams get together which have waited long
+/// and hold almost nothing: a twentieth, less than what urgent work loses to the
+/// fetches of its images.
+const FLOOR: f64 = 0.05;
+
 /// What laying out a machine and a place for the plan costs, in its steps. (Not
 /// counted, plans of a large fleet with little waiting took the whole share.)
 const STEPS_A_MACHINE: u64 = 8;
@@ -189,7 +200,7 @@
         let mut best: Option<(f64, Pool, f64, f64)> = None;
         for t in self.types.iter().flatten() {
             let allowed = spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
-            let side = Amounts::new(t.cores, t.accelerators, t.memory_gb).count(&need);
+            let side = size_of(t).count(&need);
             if !allowed || side == 0 {
                 continue;
             }
@@ -245,7 +256,7 @@
                 zone,
                 spot: m.spot,
                 ready,
-                free: Amounts::new(t.cores, t.accelerators, t.memory_gb),
+                free: size_of(t),
                 busy: Vec::new(),
                 images: m.cached(t.cache_gb),
                 slowness: m.slowness,
@@ -279,12 +290,15 @@
             }
             covered[team] = c;
         }
+        let floor = Floor { share: FLOOR, patience_s: self.d.starving_s };
+        let mut floors = Floors::new(floor, machines.iter().map(|m| size_of(&types[m.kind])));
         let mut owners: Vec<(String, u32)> = Vec::new();
         let mut steps = STEPS_A_MACHINE * machines.len() as u64;
         // Machines by what is on them: work that somebody waits for, or not.
         let mut serious: HashSet<&str> = HashSet::new();
         let mut spare: HashSet<&str> = HashSet::new();
         for (id, job) in &l.jobs {
+            floors.hold(&job.spec, job.places.len());
             let need = needs(&job.spec);
             let team = team_of(&job.spec.team);
             let run = self.expected_run(job, ratio(&job.spec.class));
@@ -388,7 +402,7 @@
                 kinds = if spot_only { fit(true) } else { ordinary };
                 let side = |k: usize| {
                     let t = &types[k];
-                    Amounts::new(t.cores, t.accelerators, t.memory_gb).count(&needs(s)) as usize
+                    size_of(t).count(&needs(s)) as usize
                 };
                 let side = kinds.iter().map(|&k| side(k)).max().unwrap_or(1).max(1);
                 waiting.truncate(spare_left.saturating_mul(side));
@@ -437,6 +451,7 @@
                 not_before: job.not_before,
                 probe,
                 leftover,
+                floor: false,
                 spot_only,
                 avoid: if leftover {
                     kept.clone()
@@ -448,7 +463,14 @@
                         .collect()
                 },
             });
+            // What nobody waits for has no floor, and what fails everywhere none either.
+            if let Some(planned) = jobs.last().filter(|j| !j.leftover && !j.probe) {
+                floors.claim(jobs.len() - 1, s, planned);
+            }
         }
+        let starving = floors.apply(now, &mut ids, &mut jobs);
+        let spec = |owner: usize| l.jobs.get(&owners[owner].0).map(|j| &j.spec);
+        starving.spare(machines.iter_mut().flat_map(|m| &mut m.busy), spec);
         // What is paid in proportion to what the running work would cost where it
         // is cheapest, over the last leases.
         let bill: f64 = l
@@ -475,7 +497,7 @@
             types: types
                 .iter()
                 .map(|t| plan::Type {
-                    size: Amounts::new(t.cores, t.accelerators, t.memory_gb),
+                    size: size_of(t),
                     price: t.price,
                     spot_price: t.spot_price,
                     fetch_gb_per_s: t.fetch_gb_per_s,
--- /dev/null
+++ b/crates/plan/src/floor.rs
@@ -0,0 +1,58 @@
+//! A floor under every class and team. Cura serves by priority, and what is always
+//! outranked may get nothing for as long as the rush lasts. A group (a class or a
+//! team) that has waited long and holds almost nothing is *under its floor*: up to
+//! a small part of the fleet its oldest work goes before all other, and what it
+//! runs is not stopped for others.
+
+/// How small a part, and how long a wait.
+#[derive(Debug, Clone, Copy)]
+pub struct Floor {
+    /// Part of all machines that all groups under their floors get together.
+    pub share: f64,
+    /// How long a job of the group has to have waited since it was submitted.
+    pub patience_s: f64,
+}
+
+/// Work of a job that waits.
+#[derive(Debug, Clone, Copy)]
+pub struct Claim {
+    /// Its class and its team, as indices of `held`.
+    pub groups: [usize; 2],
+    pub submitted: f64,
+    /// Its tasks that wait, and the part of all machines that one takes.
+    pub tasks: usize,
+    pub each: f64,
+    /// All tasks start together or none.
+    pub whole: bool,
+}
+
+/// Groups that are under their floors, given the part of all machines that each
+/// holds.
+pub fn under(now: f64, floor: &Floor, held: &[f64], claims: &[Claim]) -> Vec<bool> {
+    let mut starving = vec![false; held.len()];
+    for c in claims.iter().filter(|c| now - c.submitted > floor.patience_s) {
+        for g in c.groups {
+            starving[g] |= held[g] < floor.share;
+        }
+    }
+    starving
+}
+
+/// How many tasks of each claim go before all other work: the oldest first, until
+/// each group has its part of the floor.
+pub fn grants(floor: &Floor, starving: &[bool], held: &[f64], claims: &[Claim]) -> Vec<usize> {
+    let parts = starving.iter().filter(|s| **s).count().max(1) as f64;
+    let mut left: Vec<f64> = held.iter().map(|h| (floor.share / parts - h).max(0.0)).collect();
+    let mut granted = vec![0; claims.len()];
+    let mut by_age: Vec<usize> = (0..claims.len()).collect();
+    by_age.sort_by(|&a, &b| claims[a].submitted.total_cmp(&claims[b].submitted).then(a.cmp(&b)));
+    for i in by_age {
+        let c = &claims[i];
+        let Some(g) = c.groups.into_iter().find(|&g| starving[g]) else { continue };
+        let most = if c.each > 0.0 { (left[g] / c.each + 1e-9) as usize } else { c.tasks };
+        let n = if most >= c.tasks || !c.whole { most.min(c.tasks) } else { 0 };
+        left[g] -= n as f64 * c.each;
+        granted[i] = n;
+    }
+    granted
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,6 +1,8 @@
 //! Cura's planner as a pure function: jobs that wait, machines as they are,
 //! and out of them reservations, of which those starting now are launched.
 
+pub mod floor;
+
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
@@ -141,6 +143,8 @@
     pub leftover: bool,
     /// Only spot machines.
     pub spot_only: bool,
+    /// It is under its floor: it goes before all others (see [`floor`]).
+    pub floor: bool,
     /// Machines that it failed on.
     pub avoid: Vec<usize>,
 }
@@ -474,8 +478,9 @@
     }
     all.sort_by(|&a, &b| {
         let (x, y) = (&p.jobs[a], &p.jobs[b]);
-        y.band
-            .cmp(&x.band)
+        y.floor
+            .cmp(&x.floor)
+            .then(y.band.cmp(&x.band))
             .then(x.probe.cmp(&y.probe))
             .then(x.leftover.cmp(&y.leftover))
             .then(y.guaranteed.cmp(&x.guaranteed))
@@ -1174,7 +1179,8 @@
         let before = plan.starts.len();
         plan.timely = 0;
         if let Some(mut r) = planner.reserve(i, &windows, &mut plan) {
-            if windows[r.kind].is_none() {
+            // What is under its floor decides nothing for others.
+            if windows[r.kind].is_none() && !p.jobs[i].floor {
                 windows[r.kind] = Some(r.end.min(p.now + p.bound_s));
                 r.decides = true;
             }
--- a/crates/plan/tests/cura.rs
+++ b/crates/plan/tests/cura.rs
@@ -51,6 +51,7 @@
         not_before: 0.0,
         probe: false,
         leftover: false,
+        floor: false,
         spot_only: false,
         avoid: Vec::new(),
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -288,6 +288,10 @@
     /// first shows that nothing runs there any more; two more cost about what
     /// the same machines would cost that are rented anew and have to boot.
     pub dark_hold_s: f64,
+    /// A class or team whose jobs have waited that long with next to nothing running
+    /// is under its floor: three leases, by when what a cut or a crash held up
+    /// has been placed anew.
+    pub starving_s: f64,
     /// A worker heard within this time can reach the node: two reports at
     /// their longest spacing, and half of one for the way.
     pub heard_s: f64,
@@ -326,6 +330,7 @@
             tour_s: WORKER_TIMEOUT_S + 1.0,
             silent_s: w.report_s * 3.5,
             dark_hold_s: w.lease_s * 3.0,
+            starving_s: w.lease_s * 3.0,
             heard_s: w.report_s * 3.0,
             tick_s: w.report_s / 3.0,
             state_timeout_s: 1.5,
--- /dev/null
+++ b/crates/testkit/tests/floors.rs
@@ -0,0 +1,76 @@
+//! No class and no team gets nothing for long, whatever outranks it.
+
+mod common;
+
+use anisecroft_testkit::{Setup, Sim};
+use common::*;
+use rand::{rngs::SmallRng, SeedableRng};
+use wire::job::*;
+
+fn spec(id: String, class: &str, team: &str, shape: Shape, priority: Priority, tasks: u32) -> JobSpec {
+    JobSpec {
+        id,
+        class: class.into(),
+        team: team.into(),
+        shape,
+        priority,
+        tasks,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 30.0,
+        ..job(&mut SmallRng::seed_from_u64(1), 0)
+    }
+}
+
+fn day(seed: u64, jobs: Vec<(f64, JobSpec, Option<f64>)>, capacity: usize) -> Sim {
+    let mut s = setup(seed, vec![]);
+    for t in &mut s.settings.params.teams {
+        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
+    }
+    Sim::new(Setup { jobs, capacity, loss: 0.0, ..s })
+}
+
+/// Urgent work asks for twice the fleet all day long; a small job of another class
+/// and team has nothing running. It is served within its patience and some runs,
+/// and the urgent work has nearly all of the fleet.
+#[test]
+fn a_rush_leaves_a_class_its_floor() {
+    for seed in 0..3 {
+        let rush = (0..150).map(|n| {
+            let id = format!("req-{n}");
+            (f64::from(n) * 2.0, spec(id, "rush", "dispatch", Shape::Array, Priority::High, 8), None)
+        });
+        let report = spec("req-900".into(), "reports", "fleet", Shape::Array, Priority::Normal, 6);
+        let jobs = rush.chain([(20.0, report, None)]).collect();
+        let mut sim = day(seed, jobs, 20);
+        assert_eq!(sim.run(260.0), [], "seed {seed}");
+        let done = |id: &str| sim.ledger.done.get(id).map_or(0, |d| d.len());
+        assert_eq!(done("req-900"), 6, "seed {seed}");
+        let rush: usize = (0..150).map(|n| done(&format!("req-{n}"))).sum();
+        assert!(rush > 300, "seed {seed}: {rush} urgent tasks done");
+    }
+}
+
+/// A class whose every gang needs more machines than there are holds no machine
+/// back from the others for long.
+#[test]
+fn what_can_never_be_complete_starves_nobody() {
+    for seed in 0..3 {
+        let gangs = (0..10).map(|n| {
+            let mut s = spec(format!("req-{n}"), "train", "dispatch", Shape::Gang, Priority::High, 8);
+            s.accelerators = 4.0;
+            (f64::from(n) * 10.0, s, None)
+        });
+        let arrays = (20..40).map(|n| {
+            let id = format!("req-{n}");
+            (f64::from(n) * 4.0, spec(id, "tiles", "fleet", Shape::Array, Priority::Normal, 8), None)
+        });
+        let mut sim = day(seed, gangs.chain(arrays).collect(), 6);
+        assert_eq!(sim.run(400.0), [], "seed {seed}");
+        let waiting: Vec<String> = sim.unfinished();
+        let arrays = waiting.iter().filter(|id| id.len() > "req-9".len()).count();
+        assert_eq!(arrays, 0, "seed {seed}: {waiting:?}");
+    }
+}
