--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -382,6 +382,7 @@
     pub(crate) fn step_down(&mut self, why: &str) {
         if let Role::Leader(mut l) = std::mem::replace(&mut self.role, Role::Follower) {
             warn!(token = l.token, why, "no longer leading");
+            self.workers_here = 0;
             for request in l.relays.waiting() {
                 self.out.push(Output::RelayReply(request, RelayReply::default()));
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -259,6 +259,8 @@
     pub(crate) served: bool,
     /// Workers that stay here, as last counted.
     pub(crate) workers_here: u32,
+    /// Those that have come since.
+    pub(crate) newcomers: u32,
     pub(crate) counted_at: Time,
     /// The highest token that the state service has shown.
     pub(crate) last_token: u64,
@@ -277,6 +279,7 @@
             lateness: Lateness::default(),
             served: false,
             workers_here: 0,
+            newcomers: 0,
             counted_at: 0.0,
             last_token: 0,
             rng,
@@ -491,7 +494,7 @@
                 if self.users_better_elsewhere() {
                     self.refuse(id, 503, "state service not reached from here");
                 } else if self.types.is_some() {
-                    self.answer(id, 200, wire::encode(&wire::job::Refusal { error: String::new() }));
+                    self.answer(id, 200, wire::encode(&self.health()));
                 } else {
                     self.refuse(id, 503, "machine types not known yet");
                 }
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -7,9 +7,17 @@
 use crate::{Core, Output, Purpose, RequestId};
 use membership::{Act, Member, Source};
 use tracing::{info, warn};
+use wire::job::Health;
 use wire::peer::{Entry, Order, Orders, RelayReply, RelayRequest};
 use wire::worker::{split_task, Redirect, Report, ReportAnswer, TaskState};
 
+/// Where a worker finds room.
+pub enum Room {
+    Here,
+    At(String),
+    Nowhere,
+}
+
 /// How a report came, and so how its answer goes.
 pub enum Way {
     Direct(RequestId),
@@ -25,8 +33,10 @@
     /// A report at a node that does not lead.
     pub(crate) fn report_at_gateway(&mut self, req: RequestId, report: Report) {
         let known = self.gateway.knows(&report.machine);
-        if let Some(node) = self.no_room_for(known) {
-            return self.redirect(req, Some(node));
+        match self.find_room(known) {
+            Room::Here => {}
+            Room::At(node) => return self.redirect(req, Some(node)),
+            Room::Nowhere => return self.refuse(req, 503, "no room for more workers"),
         }
         if self.gateway.may_go(self.now, &report) {
             let (own, others) = self.members();
@@ -42,6 +52,8 @@
 
     /// This node leads from now on: what waits in its gateway is its own.
     pub(crate) fn take_over_reports(&mut self) {
+        // Counted anew as they report.
+        self.workers_here = 0;
         for (request, report) in self.gateway.hand_over() {
             self.on_own_report(request, &report);
         }
@@ -275,6 +287,7 @@
     /// Counts the workers that stay here.
     pub(crate) fn count_workers(&mut self) {
         let since = self.now - self.d.heard_s;
+        self.newcomers = 0;
         self.workers_here = match &self.role {
             Role::Leader(l) => {
                 let here = l.machines.values().filter(|m| m.stays && m.reported.is_some_and(|t| t > since));
@@ -284,14 +297,34 @@
         };
     }
 
-    /// Where a worker goes that finds no room here. Who is here stays, and where
-    /// there is room nowhere it is answered all the same.
-    pub(crate) fn no_room_for(&mut self, known: bool) -> Option<String> {
-        if known || self.workers_here < self.d.worker_room {
-            return None;
+    /// What `/up` tells of the room for workers.
+    pub(crate) fn health(&self) -> Health {
+        let (own, others) = self.members();
+        let ceiling = match &self.role {
+            Role::Leader(_) => self.ceiling(),
+            Role::Follower => own.room + others.iter().map(|m| m.room).sum::<u32>(),
+        };
+        Health { workers: own.workers, room: own.room, ceiling }
+    }
+
+    /// Where a worker goes that finds no room here, if it does. Who is here stays,
+    /// and where there is room nowhere it is answered all the same, up to the
+    /// part that is the users'.
+    pub(crate) fn find_room(&mut self, known: bool) -> Room {
+        if known {
+            return Room::Here;
+        }
+        if self.workers_here >= self.d.worker_room {
+            let (_, others) = self.members();
+            if let Some(m) = self.spread.roomiest(self.now, &others) {
+                return Room::At(m.node.clone());
+            }
+        }
+        if self.workers_here + self.newcomers >= self.d.worker_most {
+            return Room::Nowhere;
         }
-        let (_, others) = self.members();
-        self.spread.roomiest(self.now, &others).map(|m| m.node.clone())
+        self.newcomers += 1;
+        Room::Here
     }
 
     /// The node that had better take a worker which has just reported here, and
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -3,6 +3,7 @@
 use crate::record::*;
 use crate::{Core, Purpose, RequestId, StateOp, StateReply};
 use plan::Amounts;
+use rand::Rng;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use tracing::info;
@@ -27,6 +28,8 @@
 
 /// Most requests of one kind that wait at a time.
 const MOST_WAITING: usize = 2_000;
+/// Users wait that long for the answer to a poll (fixed by the protocol).
+const POLL_PATIENCE_S: f64 = 2.0;
 const CANCEL_TRIES: u32 = 8;
 
 /// Part of the state service's rate of changes that submissions through one
@@ -185,6 +188,11 @@
         if !valid_id(id) {
             return self.refuse(req, 404, "no such job");
         }
+        // Polls are shed first. Never all of them: somebody who asks on is told.
+        let shed = self.lateness.shed(POLL_PATIENCE_S);
+        if shed > 0.0 && self.rng.gen_bool(shed) {
+            return self.refuse(req, 503, "too late for polls");
+        }
         self.inquire(req, id, 404, "no such job");
     }
 
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -3,7 +3,7 @@
 use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
-use crate::relaying::Way;
+use crate::relaying::{Room, Way};
 use crate::{Core, Purpose, RequestId, StateOp, Time, WorkerReply};
 use membership::Relays;
 use std::collections::BTreeMap;
@@ -55,8 +55,10 @@
             return self.refuse(req, 503, "a newer leader exists");
         }
         let known = l.machines.get(&report.machine).is_some_and(|m| m.stays);
-        if let Some(node) = self.no_room_for(known) {
-            return self.redirect(req, Some(node));
+        match self.find_room(known) {
+            Room::Here => {}
+            Room::At(node) => return self.redirect(req, Some(node)),
+            Room::Nowhere => return self.refuse(req, 503, "no room for more workers"),
         }
         let Some(l) = self.lead(token) else { return };
         if !l.loaded {
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -157,4 +157,11 @@
     pub fn weight(&self) -> f64 {
         self.weight
     }
+
+    /// The part of requests to turn away whose askers wait for `patience` seconds:
+    /// none while timers are less than half of that late, three quarters once
+    /// answers would come when nobody waits for them any more.
+    pub fn shed(&self, patience: f64) -> f64 {
+        ((self.late * 2.0 / patience - 1.0) * 0.75).clamp(0.0, 0.75)
+    }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -62,7 +62,13 @@
     let Some((request, mut rest)) = decode(socket.clone()).await? else { return Ok(false) };
     let last = request.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
     let method = request.method();
-    let response = respond(driver, request).await;
+    let beat = request.url().path() == "/agent/beat";
+    let mut response = respond(driver, request).await;
+    // A worker that is not answered here goes on to another node.
+    let last = last || beat && response.status() != StatusCode::Ok;
+    if last {
+        response.insert_header("connection", "close");
+    }
     io::copy(Encoder::new(response, method), socket).await?;
     // What the answer did not need of the body.
     io::copy(&mut rest, io::sink()).await?;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -273,6 +273,9 @@
     /// rest half is for users, a third for what the node itself opens and for
     /// other controllers, and a sixth for direct calls to workers.
     pub worker_room: u32,
+    /// Workers that a node takes where no other has room: the rest of the front's
+    /// sockets, seven in a hundred of all, is always the users'.
+    pub worker_most: u32,
     /// Connections of users and workers together that a node accepts.
     pub front_sockets: usize,
     /// Direct calls to workers at a time.
@@ -324,6 +327,7 @@
             relay_s: (w.report_s / 60.0).clamp(0.02, 0.5),
             relay_timeout_s: leave_s * 0.75,
             worker_room: (s.params.resources.max_connections as f64 * 0.7) as u32,
+            worker_most: (s.params.resources.max_connections as f64 * 0.78) as u32,
             front_sockets: (s.params.resources.max_connections as f64 * 0.85) as usize,
             worker_calls: (s.params.resources.max_connections / 20).max(2),
             lease_over_s: w.lease_s * DRIFT + 0.5,
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -198,6 +198,8 @@
     /// Machines given up as silent that had been answered within their lease and
     /// did not hang.
     pub given_up_alive: BTreeSet<String>,
+    /// When each worker last took an answer.
+    answered_at: BTreeMap<String, f64>,
     /// When machines were gone.
     gone: BTreeMap<String, f64>,
     /// Longest time without a node that answers reports.
@@ -273,6 +275,7 @@
             deleted: Vec::new(),
             ghosts: BTreeSet::new(),
             given_up_alive: BTreeSet::new(),
+            answered_at: BTreeMap::new(),
             gone: BTreeMap::new(),
             leaderless_s: 0.0,
             last_lead: 0.0,
@@ -733,6 +736,7 @@
                 }
                 w.see_token(answer.token, now, lease_s);
                 w.renewed = w.renewed.max(sent);
+                self.answered_at.insert(vm.to_string(), now);
                 self.execute(vm, &answer.commands);
             }
             421 => {
@@ -1160,6 +1164,11 @@
         live.map(|(id, _)| id.as_str()).filter(|id| !known.contains(id)).collect()
     }
 
+    /// Workers that have been answered within the last `within` seconds.
+    pub fn answered(&self, within: f64) -> usize {
+        self.answered_at.values().filter(|at| self.now - **at < within).count()
+    }
+
     /// Machines rented in a zone so far, gone ones included.
     pub fn rented_in(&self, zone: &str) -> usize {
         self.cloud.rented_in(zone)
--- a/crates/testkit/tests/gateways.rs
+++ b/crates/testkit/tests/gateways.rs
@@ -136,21 +136,26 @@
     }
 }
 
-/// Machines that are full for the whole run, and what their reports cost.
-fn busy_fleet(capacity: usize) -> Sim {
-    let spec = JobSpec {
+/// An array without a bound to zones or kinds of machine.
+fn long_array() -> JobSpec {
+    JobSpec {
         id: "req-1".into(),
         team: "fleet".into(),
         shape: Shape::Array,
         priority: Priority::Normal,
-        tasks: capacity as u32 * 4,
+        tasks: 4,
         zone: None,
         one_zone: false,
         spread: false,
         spot: false,
         estimate_s: 2000.0,
         ..job(&mut SmallRng::seed_from_u64(1), 0)
-    };
+    }
+}
+
+/// Machines that are full for the whole run, and what their reports cost.
+fn busy_fleet(capacity: usize) -> Sim {
+    let spec = JobSpec { tasks: capacity as u32 * 4, ..long_array() };
     let mut s = setup(31, vec![]);
     for t in &mut s.settings.params.teams {
         (t.accelerators, t.accelerators_max) = (0.0, 0.0);
@@ -203,18 +208,7 @@
 /// No machine is rented that the nodes could not take.
 #[test]
 fn rentals_stop_at_the_nodes_room() {
-    let spec = JobSpec {
-        id: "req-1".into(),
-        team: "fleet".into(),
-        shape: Shape::Array,
-        tasks: 400,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 100.0,
-        ..job(&mut SmallRng::seed_from_u64(1), 0)
-    };
+    let spec = JobSpec { tasks: 400, estimate_s: 100.0, ..long_array() };
     let mut s = setup(33, vec![]);
     for t in &mut s.settings.params.teams {
         (t.accelerators, t.accelerators_max) = (0.0, 0.0);
@@ -228,3 +222,30 @@
     }
     assert!(sim.rented() >= 40, "{}", sim.rented());
 }
+
+/// The one node that is left takes workers only up to the part of its sockets that
+/// is the users'. (It once took all of them, and no user got through.)
+#[test]
+fn users_keep_their_part_of_the_last_node() {
+    let mut s = setup(34, vec![]);
+    for t in &mut s.settings.params.teams {
+        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
+    }
+    s.settings.params.resources.max_connections = 40;
+    let most = settings::Derived::from(&s.settings).worker_most as usize;
+    let spec = JobSpec { tasks: 400, estimate_s: 100.0, ..long_array() };
+    let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: 60, loss: 0.0, ..s });
+    assert_eq!(sim.run(100.0), []);
+    assert!(sim.machines() > most + 20, "{}", sim.machines());
+    for node in [1, 2] {
+        sim.strike(Fault::Crash { node, for_s: 60.0 });
+    }
+    // From when the leases of those that found no room are over.
+    for end in [130.0, 140.0, 150.0, 159.0] {
+        assert_eq!(sim.run(end), []);
+        let answered = sim.answered(5.0);
+        assert!(answered <= most && answered * 2 > most, "{answered} answered at {end}, {most} at most");
+    }
+    assert_eq!(sim.run(200.0), []);
+    assert!(sim.answered(5.0) > most, "{}", sim.answered(5.0));
+}
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -146,6 +146,15 @@
     pub running: Option<u32>,
 }
 
+/// Body of a healthy node's answer to `GET /up`: workers that it has and could
+/// have, and how many all nodes that answer reports could have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Health {
+    pub workers: u32,
+    pub room: u32,
+    pub ceiling: u32,
+}
+
 /// Body of every refusal.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Refusal {
