--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -178,6 +178,7 @@
 
     /// Its record has left those that run: it is over, and nothing is left of it.
     pub(crate) fn has_moved(&mut self, id: &str) {
+        self.tell_over(id);
         let Role::Leader(l) = &mut self.role else { return };
         if let Some(job) = l.jobs.remove(id) {
             self.finals.put(id, job.status, job.done_count);
--- a/crates/core/src/floors.rs
+++ b/crates/core/src/floors.rs
@@ -84,9 +84,10 @@
     }
 }
 
-/// Classes and teams under their floors.
+/// Classes and teams under their floors, by whether it is a team, and name.
+#[derive(Debug, Default, PartialEq)]
 pub struct Starving {
-    pub names: Vec<(bool, String)>,
+    names: Vec<(bool, String)>,
 }
 
 impl Starving {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -87,6 +87,8 @@
     image_ids: HashMap<String, u32>,
     /// Most machines that work which somebody waits for has had at a time.
     pub others_most: usize,
+    /// Classes and teams under their floors at the last plan.
+    pub starving: crate::floors::Starving,
     /// What is paid, as a multiple of what the work would cost where it is cheapest.
     pub price_paid: f64,
     pub fleet: Fleet,
@@ -144,6 +146,7 @@
             plan_after: now,
             image_ids: HashMap::new(),
             others_most: 0,
+            starving: crate::floors::Starving::default(),
             price_paid: 1.0,
             fleet: Fleet::default(),
             classes: BTreeMap::new(),
@@ -716,7 +719,7 @@
     }
 
     /// A line on a job that is over: how long it took, and whether that was late.
-    fn tell_over(&self, id: &str) {
+    pub(crate) fn tell_over(&self, id: &str) {
         let Role::Leader(l) = &self.role else { return };
         let Some(job) = l.jobs.get(id) else { return };
         let s = &job.spec;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -513,6 +513,10 @@
         let made = plan::plan(&problem);
         let effort = (made.steps + steps) as f64 / (PLAN_STEPS * self.settings.params.resources.cpu_share);
         if let Role::Leader(l) = &mut self.role {
+            if l.starving != starving {
+                info!(?starving, "classes and teams under their floors");
+                l.starving = starving;
+            }
             l.plan_after = now + effort.clamp(tick / 50.0, tick);
             l.others_most = others;
             l.price_paid = price_paid;
