--- a/crates/membership/tests/gateways.rs
+++ b/crates/membership/tests/gateways.rs
@@ -311,3 +311,48 @@
     let guards = GatewayGuards { token: false, ..GatewayGuards::default() };
     assert!((0..300).any(|seed| run(seed, guards).broken.is_some()));
 }
+
+/// 500 workers report in the same half second after a takeover: the leader has all
+/// of them, in full and with their age, after two requests.
+#[test]
+fn a_takeover_hears_five_hundred_reports_in_two_requests() {
+    let (d, _) = derived();
+    let mut g = Gateway::new(NODES[0], 7, d);
+    let leave = |token| RelayReply { token, leave_ms: 5000, ready: true, ..RelayReply::default() };
+    g.follow(0.0, Some(("chiefs-0".into(), 3)));
+    g.on_time(d.relay_s);
+    g.on_reply(d.relay_s, Some(leave(3)));
+    g.take_acts();
+    for n in 0..500u64 {
+        let report = Report {
+            machine: format!("vm-{n:06}"),
+            addr: "10.1.0.1:9000".into(),
+            machine_type: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 5,
+            token: 2,
+            notice_s: None,
+            tasks: vec![],
+        };
+        g.on_report(1.0 + n as f64 / 1000.0, n, report);
+    }
+    let (mut heard, mut requests, mut now) = (0, 0, 1.5);
+    let mut oldest = 0;
+    while heard < 500 && requests < 10 {
+        g.on_time(now);
+        for act in g.take_acts() {
+            let Act::Call(_, request) = act else { continue };
+            requests += 1;
+            heard += request.entries.len();
+            oldest = request.entries.iter().map(|e| e.age_ms).max().unwrap_or(0).max(oldest);
+            assert!(request.entries.iter().all(|e| e.content.is_some()));
+            assert_eq!(request.complete, heard == 500);
+            g.on_reply(now, Some(leave(3)));
+        }
+        now += d.relay_s;
+    }
+    assert_eq!((heard, requests), (500, 2));
+    assert!((500..1000).contains(&oldest), "{oldest} ms");
+}
