--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::record::*;
 use crate::{Budget, CloudOp, CloudReply, Core, Purpose, StateOp, Time};
 use membership::Reach;
+use settings::Derived;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use tracing::{info, warn};
 use wire::cloud::*;
@@ -122,6 +123,18 @@
 /// The cloud charges every machine for that long at least.
 const LEAST_CHARGE_S: f64 = 60.0;
 
+/// Zones of which a new leader has hardly heard a machine yet: where nothing is
+/// rented until it can tell whether they are out of reach.
+fn unheard_zones(machines: &BTreeMap<String, Machine>, now: Time, d: &Derived) -> Vec<String> {
+    let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for m in machines.values().filter(|m| m.life == Life::Up) {
+        let n = zones.entry(&m.zone).or_default();
+        *n = (n.0 + 1, n.1 + usize::from(m.heard.is_some() && !m.quiet(now, d)));
+    }
+    let unheard = zones.into_iter().filter(|(_, (up, heard))| heard * 3 < *up);
+    unheard.map(|(zone, _)| zone.to_string()).collect()
+}
+
 impl Core {
     fn cloud_budget(&mut self) -> bool {
         let (now, rate) = (self.now, self.settings.params.cloud.rps * 0.9);
@@ -438,6 +451,7 @@
         let now = self.now;
         let entitled = self.entitled();
         let types = self.types.clone().unwrap_or_default();
+        let d = self.d;
         let Role::Leader(l) = &mut self.role else { return };
         let token = l.token;
         if let Some(r) = &l.fleet.rental {
@@ -463,6 +477,7 @@
             // ordinary machines once kept hundreds of spot machines waiting for half
             // a minute, and the largest call first kept gangs waiting for theirs.
             let mut choice: Option<(String, bool, String, u32)> = None;
+            let unsure = if now - l.since < d.tour_s { unheard_zones(&l.machines, now, &d) } else { vec![] };
             for ((name, spot), n) in &l.fleet.wanted {
                 let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
                 if *n == 0 {
@@ -471,7 +486,7 @@
                 let mut zones: Vec<(usize, &String)> = t
                     .zones
                     .iter()
-                    .filter(|z| l.fleet.zone_open(now, name, z, *spot))
+                    .filter(|z| l.fleet.zone_open(now, name, z, *spot) && !unsure.contains(z))
                     .map(|z| {
                         let there = l
                             .machines
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -616,7 +616,10 @@
         // What is cut off with its zone may be back in seconds.
         let held = |m: &Machine| reach.dark_since(&m.zone).is_some_and(|since| now - since < dark_hold_s);
         let up = |m: &&Machine| m.life == Life::Up && !reach.is_dark(&m.zone);
-        let silent = l.machines.values().filter(|m| m.silence(now) > patience_s);
+        // A new leader learns only now of silences: in its first moments it once gave
+        // a zone's machines up by the age of their last reports, before it could
+        // see that the whole zone was silent.
+        let silent = l.machines.values().filter(|m| m.silence(now).min(now - l.since) > patience_s);
         let (dark, silent): (Vec<&Machine>, Vec<&Machine>) = silent.partition(|m| held(m));
         let ended = dark.iter().filter(|m| surely_over(&l.relays, m.answered)).map(|m| m.id.clone());
         let ended: Vec<String> = ended.collect();
@@ -663,8 +666,8 @@
     fn look_at_zones(&mut self) {
         let (now, d) = (self.now, self.d);
         let Role::Leader(l) = &mut self.role else { return };
-        // A leader hears little at first.
-        if now - l.since < d.silent_s / 2.0 {
+        // At first a leader has not heard all nodes yet.
+        if now - l.since < d.tour_s {
             return;
         }
         let machines = l.machines.values().filter(|m| m.life == Life::Up);
