--- a/crates/core/src/floors.rs
+++ b/crates/core/src/floors.rs
@@ -56,7 +56,10 @@
     /// Job `at` of the plan waits with what it needs.
     pub fn claim(&mut self, at: usize, s: &JobSpec, job: &Job) {
         let (groups, each) = (self.groups(s), self.each(s));
-        let (tasks, whole) = (job.waiting.len(), job.shape == Shape::Gang);
+        // A job bound to zones is not divided either: each part would choose its
+        // own. (Two parts of an array once ran in two zones.)
+        let whole = job.shape == Shape::Gang || job.one_zone || job.zone_cap.is_some();
+        let tasks = job.waiting.len();
         self.claims.push(Claim { groups, submitted: job.submitted, tasks, each, whole });
         self.of.push(at);
     }
--- a/crates/plan/src/floor.rs
+++ b/crates/plan/src/floor.rs
@@ -22,7 +22,7 @@
     /// Its tasks that wait, and the part of all machines that one takes.
     pub tasks: usize,
     pub each: f64,
-    /// All tasks start together or none.
+    /// All of its tasks go first or none.
     pub whole: bool,
 }
 
