--- a/crates/testkit/tests/simulation.rs
+++ b/crates/testkit/tests/simulation.rs
@@ -69,7 +69,8 @@
 /// Every trouble, with jobs that fail everywhere until they are cancelled.
 #[test]
 fn broken_jobs_among_troubles_break_no_rule() {
-    for seed in 200..212 {
+    // 6198: a gang waited for ever beside an idle machine that it had failed on.
+    for seed in (200..212).chain([6198]) {
         let faults = troubles(seed);
         let mut s = setup(seed, faults.clone());
         for (at, spec, cancel) in s.jobs.iter_mut().step_by(5) {
