--- a/crates/report/src/journal.rs
+++ b/crates/report/src/journal.rs
@@ -19,7 +19,9 @@
 #[derive(Deserialize)]
 struct Day {
     name: String,
-    seed: u64,
+    /// None: a day that was drawn anew.
+    #[serde(default)]
+    seed: Option<u64>,
     #[serde(default)]
     aims: Vec<(String, f64)>,
 }
@@ -29,7 +31,7 @@
 pub struct Aim {
     pub site: String,
     pub day: String,
-    pub seed: u64,
+    pub seed: Option<u64>,
     pub class: String,
     /// What was aimed at, as the entry words it.
     pub aim: String,
--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -68,11 +68,12 @@
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let mut found = aims(&text).map_err(|e| format!("{}: {e}", path.display()))?;
         found.sort_by(|a, b| a.share.total_cmp(&b.share));
-        let mut told: Vec<(String, u64, String)> = Vec::new();
+        let mut told: Vec<(String, Option<u64>, String)> = Vec::new();
         for a in found.into_iter().filter(|a| a.share < below) {
             let key = (a.day.clone(), a.seed, a.class.clone());
             if !told.contains(&key) {
-                println!("{:<30}{:<10}{:>6}  {:<36}{:.3}", a.site, a.day, a.seed, a.aim, a.share);
+                let seed = a.seed.map_or_else(|| "drawn".to_string(), |s| s.to_string());
+                println!("{:<30}{:<12}{seed:>14}  {:<36}{:.3}", a.site, a.day, a.aim, a.share);
                 told.push(key);
             }
         }
--- a/crates/report/tests/served.rs
+++ b/crates/report/tests/served.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn entries_of_the_journal_tell_each_classs_aims() {
-    let entry = r#"{"site":"maps","days":[{"name":"rough","seed":3,"aims":[
+    let entry = r#"{"site":"maps","days":[{"name":"drawn","seed":null,"aims":[]},{"name":"rough","seed":3,"aims":[
         ["wait tiles 30 s: 0.75 (aim 0.9)",0.4],["useful: 0.5 (aim 0.6)",0.4],
         ["deadline tiles 1.5x: 0.5 (aim 0.9)",0.1]]}]}
         seal"#;
