Tests: one array without bounds and one way to lift the teams' limits

The same job and the same loop over teams stood in gateways, returns and floors. They are in tests/common now; jobs, seeds and assertions are as before.

--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -96,3 +96,29 @@
 pub fn derived() -> settings::Derived {
     settings::Derived::from(&settings())
 }
+
+/// An array without a bound to zones or kinds of machine.
+#[allow(dead_code)]
+pub fn long_array() -> JobSpec {
+    JobSpec {
+        id: "req-1".into(),
+        team: "fleet".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks: 4,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 2000.0,
+        ..job(&mut SmallRng::seed_from_u64(1), 0)
+    }
+}
+
+/// Takes the teams' guarantees and limits away.
+#[allow(dead_code)]
+pub fn unlimited(s: &mut Setup) {
+    for t in &mut s.settings.params.teams {
+        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
+    }
+}
--- a/crates/testkit/tests/floors.rs
+++ b/crates/testkit/tests/floors.rs
@@ -4,31 +4,16 @@
 
 use anisecroft_testkit::{Setup, Sim};
 use common::*;
-use rand::{rngs::SmallRng, SeedableRng};
 use wire::job::*;
 
 fn spec(id: String, class: &str, team: &str, shape: Shape, priority: Priority, tasks: u32) -> JobSpec {
-    JobSpec {
-        id,
-        class: class.into(),
-        team: team.into(),
-        shape,
-        priority,
-        tasks,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 30.0,
-        ..job(&mut SmallRng::seed_from_u64(1), 0)
-    }
+    let (class, team) = (class.into(), team.into());
+    JobSpec { id, class, team, shape, priority, tasks, estimate_s: 30.0, ..long_array() }
 }
 
 fn day(seed: u64, jobs: Vec<(f64, JobSpec, Option<f64>)>, capacity: usize) -> Sim {
     let mut s = setup(seed, vec![]);
-    for t in &mut s.settings.params.teams {
-        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
-    }
+    unlimited(&mut s);
     Sim::new(Setup { jobs, capacity, loss: 0.0, ..s })
 }
 
--- a/crates/testkit/tests/gateways.rs
+++ b/crates/testkit/tests/gateways.rs
@@ -146,30 +146,11 @@
     }
 }
 
-/// An array without a bound to zones or kinds of machine.
-fn long_array() -> JobSpec {
-    JobSpec {
-        id: "req-1".into(),
-        team: "fleet".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks: 4,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 2000.0,
-        ..job(&mut SmallRng::seed_from_u64(1), 0)
-    }
-}
-
 /// Machines that are full for the whole run, and what their reports cost.
 fn busy_fleet(capacity: usize) -> Sim {
     let spec = JobSpec { tasks: capacity as u32 * 4, ..long_array() };
     let mut s = setup(31, vec![]);
-    for t in &mut s.settings.params.teams {
-        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
-    }
+    unlimited(&mut s);
     let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity, loss: 0.0, ..s });
     assert_eq!(sim.run(150.0), []);
     sim
@@ -220,9 +201,7 @@
 fn rentals_stop_at_the_nodes_room() {
     let spec = JobSpec { tasks: 400, estimate_s: 100.0, ..long_array() };
     let mut s = setup(33, vec![]);
-    for t in &mut s.settings.params.teams {
-        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
-    }
+    unlimited(&mut s);
     // Seven tenths of 20 sockets at each of three nodes: 42 workers.
     s.settings.params.resources.max_connections = 20;
     let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: 100, loss: 0.0, ..s });
@@ -238,9 +217,7 @@
 #[test]
 fn users_keep_their_part_of_the_last_node() {
     let mut s = setup(34, vec![]);
-    for t in &mut s.settings.params.teams {
-        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
-    }
+    unlimited(&mut s);
     s.settings.params.resources.max_connections = 40;
     let most = settings::Derived::from(&s.settings).worker_most as usize;
     let spec = JobSpec { tasks: 400, estimate_s: 100.0, ..long_array() };
--- a/crates/testkit/tests/returns.rs
+++ b/crates/testkit/tests/returns.rs
@@ -5,7 +5,6 @@
 
 use anisecroft_testkit::{Fault, Setup, Sim};
 use common::*;
-use rand::{rngs::SmallRng, SeedableRng};
 use wire::job::*;
 
 /// A zone is cut off for so long that its machines are given back. When its
@@ -33,23 +32,9 @@
 
 /// Work that fills `machines` machines for longer than the day.
 fn full(seed: u64, machines: usize) -> Sim {
-    let spec = JobSpec {
-        id: "req-1".into(),
-        team: "fleet".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks: machines as u32 * 4,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 2000.0,
-        ..job(&mut SmallRng::seed_from_u64(1), 0)
-    };
+    let spec = JobSpec { tasks: machines as u32 * 4, ..long_array() };
     let mut s = setup(seed, vec![]);
-    for t in &mut s.settings.params.teams {
-        (t.accelerators, t.accelerators_max) = (0.0, 0.0);
-    }
+    unlimited(&mut s);
     let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: machines, loss: 0.0, ..s });
     assert_eq!(sim.run(100.0), []);
     sim
