--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -129,7 +129,7 @@
     let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for m in machines.values().filter(|m| m.life == Life::Up) {
         let n = zones.entry(&m.zone).or_default();
-        *n = (n.0 + 1, n.1 + usize::from(m.heard.is_some() && !m.quiet(now, d)));
+        *n = (n.0 + 1, n.1 + usize::from(m.heard_lately(now, d)));
     }
     let unheard = zones.into_iter().filter(|(_, (up, heard))| heard * 3 < *up);
     unheard.map(|(zone, _)| zone.to_string()).collect()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -426,7 +426,7 @@
 
     /// Machines that this leader would give work to now, their workers heard.
     pub fn usable_machines(&self) -> impl Iterator<Item = &str> {
-        let up = |m: &&machine::Machine| m.heard.is_some() && m.takes_work() && !m.quiet(self.now, &self.d);
+        let up = |m: &&machine::Machine| m.takes_work() && m.heard_lately(self.now, &self.d);
         self.machines().filter(up).map(|m| m.id.as_str())
     }
 
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -143,6 +143,11 @@
         self.silence(now) > d.silent_s / 2.0
     }
 
+    /// Whether it was heard and has missed no reports since.
+    pub fn heard_lately(&self, now: Time, d: &Derived) -> bool {
+        self.heard.is_some() && !self.quiet(now, d)
+    }
+
     /// A report that no command had asked for came to a node at `came`.
     pub fn reported_at(&mut self, came: Time) {
         self.heard = later(self.heard, came);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -671,7 +671,7 @@
             return;
         }
         let machines = l.machines.values().filter(|m| m.life == Life::Up);
-        let heard = machines.map(|m| (m.zone.as_str(), m.heard.is_some() && !m.quiet(now, &d)));
+        let heard = machines.map(|m| (m.zone.as_str(), m.heard_lately(now, &d)));
         if l.fleet.reach.look(now, heard) {
             let dark: Vec<&str> = l.fleet.reach.dark().collect();
             warn!(?dark, "zones out of reach");
