Machines are kept while their workers look for one of the few nodes that hear them

A worker tries one node after the other, 5 s each; the leader's patience counted only nodes that the other nodes do not hear, and these were heard.

Change: the leader notes by which node reports of each zone's workers come (`Hearing`). A node by which they have stopped, or come again only lately, costs a tour more in that zone.

--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -4,8 +4,9 @@
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
 use crate::workers::Held;
-use crate::{Core, Output, Purpose, RequestId};
-use membership::{Act, Member, Source};
+use crate::{Core, Output, Purpose, RequestId, Time};
+use membership::{Act, Member, Source, Spans};
+use std::collections::{BTreeMap, BTreeSet};
 use tracing::{info, warn};
 use wire::job::Health;
 use wire::peer::{Entry, Order, Orders, RelayReply, RelayRequest};
@@ -152,6 +153,8 @@
                     (m.newest, m.answered) = (place, m.answered.max(came));
                     m.reported_at(came);
                     m.stays = false;
+                    let zone = m.zone.clone();
+                    self.heard_by(Some(source), &zone, came);
                 }
                 return;
             }
@@ -255,15 +258,49 @@
         2.0 * self.d.renew_s + self.d.relay_timeout_s
     }
 
-    /// Silence after which a machine is given up, longer while nodes are away: its
-    /// worker may have to try one after the other. (With two of three nodes cut
-    /// off, machines that went on were once given up.)
-    pub(crate) fn patience_s(&self) -> f64 {
-        let nodes = self.settings.peers.iter().map(|p| p.node.as_str());
-        let away = self.presence.away(self.now, self.view_gap_s(), self.d.silent_s, nodes);
-        let tour = self.d.tour_s * (away + 1) as f64;
-        // A report at its longest spacing, and half of one for the way.
-        self.d.silent_s.max(self.settings.params.workers.report_s * 1.75 + tour)
+    /// Longest usual time between two reports of a worker, and half of one for the way.
+    fn report_gap_s(&self) -> f64 {
+        self.settings.params.workers.report_s * 1.75
+    }
+
+    /// A worker's report had come to `via`, or to this node, at `came`.
+    pub(crate) fn heard_by(&mut self, via: Option<&Source>, zone: &str, came: Time) {
+        let gap = self.report_gap_s();
+        let Role::Leader(l) = &mut self.role else { return };
+        let node = via.map_or(&self.settings.node, |(node, _)| node);
+        l.relays.hearing.heard(came, node, zone, gap);
+    }
+
+    /// Silence after which machines are given up, by zone: longer while nodes are away
+    /// from this one or from the zone's workers, which may have to try one after the
+    /// other. (With two of three nodes cut off, machines that went on were once
+    /// given up; with four of five cut off from the workers alone, a quarter of them.)
+    pub(crate) fn patience_s(&self) -> BTreeMap<String, f64> {
+        let Role::Leader(l) = &self.role else { return BTreeMap::new() };
+        let (now, d) = (self.now, &self.d);
+        let own = &self.settings.node;
+        let peers = self.settings.peers.iter().map(|p| p.node.as_str());
+        let nodes: Vec<&str> = peers.chain([own.as_str()]).collect();
+        let gap = self.view_gap_s();
+        let here = |node: &str| node == own || self.presence.here(now, gap, d.silent_s, node);
+        let report_gap = self.report_gap_s();
+        let longest = report_gap + d.tour_s * (nodes.len() + 1) as f64;
+        let spans = Spans { gap: report_gap, within: d.silent_s, lately: longest };
+        let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+        for m in l.machines.values().filter(|m| m.life == Life::Up) {
+            match zones.get_mut(&m.zone) {
+                Some(n) => *n += 1,
+                None => drop(zones.insert(m.zone.clone(), 1)),
+            }
+        }
+        let patience = |(zone, up): (String, usize)| {
+            let part = up / nodes.len();
+            let reached =
+                |node: &&&str| here(node) && l.relays.hearing.reached(now, node, &zone, part, &spans);
+            let away = nodes.len() - nodes.iter().filter(reached).count();
+            (zone, d.silent_s.max(spans.gap + d.tour_s * (away + 1) as f64))
+        };
+        zones.into_iter().map(patience).collect()
     }
 
     /// This node and the others that answer reports, as far as workers go.
@@ -354,7 +391,7 @@
     pub(crate) fn ceiling(&self) -> u32 {
         let Role::Leader(l) = &self.role else { return 0 };
         let lately = self.now - self.settings.params.workers.lease_s;
-        let serving: std::collections::BTreeSet<&str> = l.relays.serving(lately).collect();
+        let serving: BTreeSet<&str> = l.relays.serving(lately).collect();
         let rooms = serving.iter().filter_map(|n| self.peers.get(*n)).map(|(v, _)| v.room);
         self.d.worker_room + rooms.sum::<u32>()
     }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -110,6 +110,7 @@
         if !self.take_report(report, true, came) {
             return false;
         }
+        self.heard_by(via.as_ref(), &report.zone, came);
         if let Role::Leader(l) = &mut self.role {
             if let Some(m) = l.machines.get_mut(id) {
                 m.reported_at(came);
@@ -619,7 +620,8 @@
         // A new leader learns only now of silences: in its first moments it once gave
         // a zone's machines up by the age of their last reports, before it could
         // see that the whole zone was silent.
-        let silent = l.machines.values().filter(|m| m.silence(now).min(now - l.since) > patience_s);
+        let patience = |m: &Machine| patience_s.get(&m.zone).copied().unwrap_or(silent_s);
+        let silent = l.machines.values().filter(|m| m.silence(now).min(now - l.since) > patience(m));
         let (dark, silent): (Vec<&Machine>, Vec<&Machine>) = silent.partition(|m| held(m));
         let ended = dark.iter().filter(|m| surely_over(&l.relays, m.answered)).map(|m| m.id.clone());
         let ended: Vec<String> = ended.collect();
--- /dev/null
+++ b/crates/membership/src/hearing.rs
@@ -0,0 +1,66 @@
+//! Which nodes the workers of a zone reach, from the reports that come by each.
+
+use crate::Time;
+use std::collections::BTreeMap;
+
+/// Workers that a node should have of a zone before their absence there says
+/// anything of the link between them.
+const FEWEST: usize = 2;
+
+/// When reports of a zone came by a node last, and since when without a gap.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    last: Time,
+    since: Time,
+}
+
+/// Reports by node and zone. A node that others hear may be cut off from the
+/// workers, or from those of one zone. A state machine without clock.
+#[derive(Debug, Default)]
+pub struct Hearing {
+    spans: BTreeMap<String, BTreeMap<String, Span>>,
+}
+
+impl Hearing {
+    /// A report of a worker in `zone` had come to `node` at `came`. A silence longer
+    /// than `gap` ends a node's hearing of a zone.
+    pub fn heard(&mut self, came: Time, node: &str, zone: &str, gap: Time) {
+        if !self.spans.contains_key(node) {
+            self.spans.insert(node.to_string(), BTreeMap::new());
+        }
+        let Some(zones) = self.spans.get_mut(node) else { return };
+        match zones.get_mut(zone) {
+            Some(span) => {
+                if came - span.last > gap {
+                    span.since = came;
+                }
+                span.last = span.last.max(came);
+            }
+            None => {
+                zones.insert(zone.to_string(), Span { last: came, since: came });
+            }
+        }
+    }
+
+    /// Whether workers of `zone` have reached `node` all along since `since`. Of a node
+    /// that has had none of them for `lately` or ever nothing is known, unless it
+    /// should have had `part` of them, a few at least.
+    pub fn reached(&self, now: Time, node: &str, zone: &str, part: usize, t: &Spans) -> bool {
+        match self.spans.get(node).and_then(|zones| zones.get(zone)) {
+            Some(span) if now - span.last <= t.gap => span.since <= now - t.within,
+            Some(span) if now - span.last <= t.lately => false,
+            _ => part < FEWEST,
+        }
+    }
+}
+
+/// By what a node's hearing is judged, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Spans {
+    /// A longer silence ends it.
+    pub gap: Time,
+    /// What is newer than that may have gaps before it.
+    pub within: Time,
+    /// What is older than that tells nothing.
+    pub lately: Time,
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,12 +7,14 @@
 //! ([`Spread`]). `docs/gateways.md` has the safety argument.
 
 mod gateway;
+mod hearing;
 mod presence;
 mod reach;
 mod relays;
 mod spread;
 
 pub use gateway::{Act, Gateway, GatewayGuards};
+pub use hearing::{Hearing, Spans};
 pub use presence::Presence;
 pub use reach::Reach;
 pub use relays::{Relays, Reply, Source};
--- a/crates/membership/src/presence.rs
+++ b/crates/membership/src/presence.rs
@@ -19,19 +19,10 @@
         *last = now;
     }
 
-    /// How many of `nodes` have been away within the last `within` seconds: a
-    /// worker that reported there may still be looking for another.
-    pub fn away<'a>(
-        &self,
-        now: Time,
-        gap: Time,
-        within: Time,
-        nodes: impl Iterator<Item = &'a str>,
-    ) -> usize {
-        let here = |node: &str| {
-            let heard = self.nodes.get(node);
-            heard.is_some_and(|(last, since)| now - last <= gap && (now - since >= within || *since < within))
-        };
-        nodes.filter(|n| !here(n)).count()
+    /// Whether `node` has been there for the last `within` seconds: else a worker that
+    /// reported there may still be looking for another.
+    pub fn here(&self, now: Time, gap: Time, within: Time, node: &str) -> bool {
+        let heard = self.nodes.get(node);
+        heard.is_some_and(|(last, since)| now - last <= gap && (now - since >= within || *since < within))
     }
 }
--- a/crates/membership/src/relays.rs
+++ b/crates/membership/src/relays.rs
@@ -1,6 +1,6 @@
 //! The leader's side: what it knows of the nodes that answer for it.
 
-use crate::{RequestId, Time};
+use crate::{Hearing, RequestId, Time};
 use settings::DRIFT;
 use std::collections::{BTreeMap, VecDeque};
 use wire::peer::{Attend, Orders, RelayReply, RelayRequest};
@@ -47,6 +47,8 @@
 
 #[derive(Default)]
 pub struct Relays {
+    /// Which nodes the workers reach, by the reports that come by each.
+    pub hearing: Hearing,
     map: BTreeMap<Source, Relay>,
     /// Machines that only the leader answers, and whether something is to be
     /// stopped there.
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -40,6 +40,12 @@
         workers: bool,
         for_s: f64,
     },
+    /// The same between a node and the workers of one zone.
+    WorkersCut {
+        node: usize,
+        zone: &'static str,
+        for_s: f64,
+    },
     CloudOutage {
         for_s: f64,
     },
@@ -153,6 +159,8 @@
     asked: BTreeMap<RequestId, Asker>,
     cut_state: f64,
     cut_workers: f64,
+    /// The same for the workers of one zone.
+    cut_zone: (f64, &'static str),
     cut_peers: f64,
     refused: f64,
     silent: f64,
@@ -256,6 +264,7 @@
                 asked: BTreeMap::new(),
                 cut_state: 0.0,
                 cut_workers: 0.0,
+                cut_zone: (0.0, ""),
                 cut_peers: 0.0,
                 refused: 0.0,
                 silent: 0.0,
@@ -462,7 +471,9 @@
     fn worker_cut(&self, vm: &str, n: usize) -> f64 {
         let zone = self.workers.get(vm).map_or("", |w| &w.place.zone);
         let apart = self.inside(zone) != self.inside(&self.nodes[n].zone);
-        self.nodes[n].cut_workers.max(if apart { self.zone_cut.0 } else { 0.0 })
+        let (until, there) = self.nodes[n].cut_zone;
+        let own = self.nodes[n].cut_workers.max(if there == zone { until } else { 0.0 });
+        own.max(if apart { self.zone_cut.0 } else { 0.0 })
     }
 
     fn addr_cut(&self, addr: &str, n: usize) -> f64 {
@@ -1130,6 +1141,7 @@
                     self.nodes[node].cut_workers = now + for_s;
                 }
             }
+            Fault::WorkersCut { node, zone, for_s } => self.nodes[node].cut_zone = (now + for_s, zone),
             Fault::CloudOutage { for_s } => self.cloud_down = now + for_s,
             Fault::Hang { nth: n, for_s } => {
                 if let Some(w) = nth(self, n).and_then(|id| self.workers.get_mut(&id)) {
--- a/crates/testkit/tests/returns.rs
+++ b/crates/testkit/tests/returns.rs
@@ -32,10 +32,15 @@
 
 /// Work that fills `machines` machines for longer than the day.
 fn full(seed: u64, machines: usize) -> Sim {
+    full_of(3, seed, machines)
+}
+
+fn full_of(nodes: usize, seed: u64, machines: usize) -> Sim {
     let spec = JobSpec { tasks: machines as u32 * 4, ..long_array() };
     let mut s = setup(seed, vec![]);
     unlimited(&mut s);
-    let mut sim = Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: machines, loss: 0.0, ..s });
+    let mut sim =
+        Sim::new(Setup { jobs: vec![(1.0, spec, None)], capacity: machines, loss: 0.0, nodes, ..s });
     assert_eq!(sim.run(100.0), []);
     sim
 }
@@ -98,6 +103,37 @@
     }
 }
 
+/// Nodes that hear one another and the state service, but no workers, or none of one
+/// zone: their workers try one after the other until they find a node that does, and
+/// are kept meanwhile. (With four of five nodes cut off from the workers the one that
+/// was left gave a quarter of the fleet up.)
+#[test]
+fn workers_that_few_nodes_hear_are_not_given_up() {
+    for seed in 0..12 {
+        let nodes = 3 + seed as usize % 3;
+        let mut sim = full_of(nodes, seed, 40);
+        let (hears, for_s) = (seed as usize / 3 % nodes, 20.0 + seed as f64);
+        let cut = |node, nth: usize| match seed % 4 {
+            // Some of them a little later than the others.
+            0 | 1 => {
+                (nth as f64 * (seed % 4) as f64, Fault::Cut { node, state: false, workers: true, for_s })
+            }
+            2 => (0.0, Fault::WorkersCut { node, zone: "a", for_s }),
+            _ => (nth as f64 * 2.0, Fault::WorkersCut { node, zone: ["a", "b"][nth % 2], for_s }),
+        };
+        let mut cuts: Vec<_> =
+            (0..nodes).filter(|n| *n != hears).zip(0..).map(|(n, nth)| cut(n, nth)).collect();
+        cuts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (after, fault) in cuts {
+            assert_eq!(sim.run(100.0 + after), [], "seed {seed}");
+            sim.strike(fault);
+        }
+        assert_eq!(sim.run(220.0), [], "seed {seed}");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+        assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
+    }
+}
+
 /// All controllers crash while a third of the machines hang: what goes on is kept,
 /// and what hangs for good is replaced.
 #[test]
