A replaced leader rests, and leads no longer once it hears of a newer one

Need: a leader that the state service did not reach went on as if it led for 55 to 85 s: it listed the cloud beside its successor (25 calls in a minute in the test), judged zones and machines, and gave hundreds up in its own books. None of it took effect, but it cost calls, and its log misled.

Change: `Standing` holds since when a leader has been entitled by its own clock. While it is not, it answers reports and stops tasks within its grace, and does nothing else. Views carry the highest token that a node has seen; a view, or a worker's report, with a higher one ends the leadership. Silence counts from when the leader was entitled again: workers are sent on in vain during an outage.

The older test of the grace cuts the old leader off from its peers too, since it now learns of its successor from them. In the simulation processes return after 0 to 10 s, drawn, half of them within half a second; seeds on record keep 8 s.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -36,6 +36,42 @@
     Leader(Box<Lead>),
 }
 
+/// Since when this leader has been entitled to act, by its own clock. While it is not
+/// it may answer reports and stop tasks for its grace, but judges no machine, plans
+/// nothing and asks nothing of the cloud: another may lead. (Replaced leaders that the
+/// state service did not reach once listed the cloud beside their successors for a
+/// minute, and gave up hundreds of machines in their own books.)
+#[derive(Debug, Default)]
+pub struct Standing {
+    since: Option<Time>,
+    /// It has been entitled before.
+    before: bool,
+}
+
+impl Standing {
+    /// Looks whether it is entitled `now`; a line when that has changed.
+    fn look(&mut self, now: Time, entitled: bool, token: u64) {
+        match (entitled, self.since) {
+            (true, None) => {
+                if self.before {
+                    info!(token, "lease confirmed again, acting");
+                }
+                (self.since, self.before) = (Some(now), true);
+            }
+            (false, Some(_)) => {
+                warn!(token, "lease not confirmed, no plans and no calls to the cloud until it is");
+                self.since = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// How long it has been entitled without a gap.
+    pub fn held_s(&self, now: Time) -> Time {
+        self.since.map_or(0.0, |since| now - since)
+    }
+}
+
 /// What the leader knows. Rebuilt from records and reports at each takeover.
 pub struct Lead {
     pub token: u64,
@@ -43,6 +79,7 @@
     pub since: Time,
     /// When the last renewal that was confirmed had been sent.
     pub confirmed: Time,
+    pub standing: Standing,
     pub renewing: Option<CallId>,
     pub next_renew: Time,
     pub loaded: bool,
@@ -114,6 +151,7 @@
             lease,
             since: now,
             confirmed,
+            standing: Standing::default(),
             renewing: None,
             next_renew: now,
             loaded: false,
@@ -382,6 +420,16 @@
         }
     }
 
+    /// Another node or a worker has seen that token: who leads with a lower one has
+    /// been replaced.
+    pub(crate) fn heard_of(&mut self, token: u64, by: &str) {
+        self.heard_token = self.heard_token.max(token);
+        if matches!(&self.role, Role::Leader(l) if l.token < token) {
+            info!(newer = token, by, "another leader was heard of");
+            self.step_down("another leader was heard of");
+        }
+    }
+
     pub(crate) fn step_down(&mut self, why: &str) {
         if let Role::Leader(mut l) = std::mem::replace(&mut self.role, Role::Follower) {
             warn!(token = l.token, why, "no longer leading");
@@ -455,7 +503,11 @@
             }
             // What looks at every machine need not be done at every message.
             let sweep_s = self.d.tick_s / 5.0;
-            let due = matches!(&self.role, Role::Leader(l) if now - l.swept_at >= sweep_s);
+            let entitled = self.entitled();
+            if let Some(l) = self.lead(token) {
+                l.standing.look(now, entitled, token);
+            }
+            let due = entitled && matches!(&self.role, Role::Leader(l) if now - l.swept_at >= sweep_s);
             if due {
                 if let Role::Leader(l) = &mut self.role {
                     l.swept_at = now;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -264,6 +264,8 @@
     pub(crate) counted_at: Time,
     /// The highest token that the state service has shown.
     pub(crate) last_token: u64,
+    /// The highest token that another node or a worker has shown.
+    pub(crate) heard_token: u64,
 }
 
 impl Core {
@@ -282,6 +284,7 @@
             newcomers: 0,
             counted_at: 0.0,
             last_token: 0,
+            heard_token: 0,
             rng,
             now: 0.0,
             wall: 0.0,
@@ -346,6 +349,7 @@
                 if self.settings.peers.iter().any(|p| p.node == view.node) {
                     let gap = self.view_gap_s();
                     self.presence.heard(self.now, &view.node, gap);
+                    self.heard_of(view.token.max(view.newest), &view.node);
                     self.peers.insert(view.node.clone(), (view, self.now));
                 }
             }
@@ -385,12 +389,19 @@
             workers_heard: self.workers_heard.values().filter(|&&t| t > since).count() as u32,
             workers: self.workers_here,
             format: record::FORMAT,
+            newest: self.newest_token(),
             room: self.d.worker_room,
             serves,
             weight: (self.lateness.weight() * 1000.0) as u32,
         }
     }
 
+    /// The highest token that this node has seen anywhere.
+    fn newest_token(&self) -> u64 {
+        let led = self.known_leader.as_ref().map_or(0, |l| l.1);
+        led.max(self.last_token).max(self.heard_token)
+    }
+
     /// Whether this node alone misses the state service, so that users are
     /// better off with the others: a peer has reached it since. In an outage
     /// all stay, or users would be kept away for longer than it lasts.
@@ -436,10 +447,9 @@
     }
 
     /// Machines that this leader has given up as silent and that may be there yet;
-    /// none while it may not act upon that.
+    /// whether it may still act upon that or not.
     pub fn given_up(&self) -> impl Iterator<Item = &str> {
-        let entitled = self.entitled();
-        self.machines().filter(move |m| m.given_up && entitled).map(|m| m.id.as_str())
+        self.machines().filter(|m| m.given_up).map(|m| m.id.as_str())
     }
 
     /// Whether it leads and has read all records.
@@ -447,6 +457,14 @@
         matches!(&self.role, Role::Leader(l) if l.loaded)
     }
 
+    /// The token with which it leads.
+    pub fn token(&self) -> Option<u64> {
+        match &self.role {
+            Role::Leader(l) => Some(l.token),
+            Role::Follower => None,
+        }
+    }
+
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -52,6 +52,7 @@
         }
         let token = l.token;
         if report.token > token {
+            self.heard_of(report.token, &report.machine);
             return self.refuse(req, 503, "a newer leader exists");
         }
         let known = l.machines.get(&report.machine).is_some_and(|m| m.stays);
@@ -621,7 +622,7 @@
         // a zone's machines up by the age of their last reports, before it could
         // see that the whole zone was silent.
         let patience = |m: &Machine| patience_s.get(&m.zone).copied().unwrap_or(silent_s);
-        let silent = l.machines.values().filter(|m| m.silence(now).min(now - l.since) > patience(m));
+        let silent = l.machines.values().filter(|m| m.silence(now).min(l.standing.held_s(now)) > patience(m));
         let (dark, silent): (Vec<&Machine>, Vec<&Machine>) = silent.partition(|m| held(m));
         let ended = dark.iter().filter(|m| surely_over(&l.relays, m.answered)).map(|m| m.id.clone());
         let ended: Vec<String> = ended.collect();
@@ -668,8 +669,9 @@
     fn look_at_zones(&mut self) {
         let (now, d) = (self.now, self.d);
         let Role::Leader(l) = &mut self.role else { return };
-        // At first a leader has not heard all nodes yet.
-        if now - l.since < d.tour_s {
+        // At first a leader has not heard all nodes yet, and after an outage of the
+        // state service the workers may have been sent on in vain.
+        if l.standing.held_s(now) < d.tour_s {
             return;
         }
         let machines = l.machines.values().filter(|m| m.life == Life::Up);
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -206,6 +206,13 @@
     /// Machines given up as silent that had been answered within their lease and
     /// did not hang.
     pub given_up_alive: BTreeSet<String>,
+    /// Those that were looked at for that, by node and token.
+    judged: BTreeSet<(usize, u64, String)>,
+    /// Calls to the cloud by leaders that had been replaced.
+    pub stray_calls: u64,
+    /// Longest time that a replaced leader took itself for the leader.
+    pub rivals_s: f64,
+    rivals_since: Option<f64>,
     /// When each worker last took an answer.
     answered_at: BTreeMap<String, f64>,
     /// When machines were gone.
@@ -284,6 +291,10 @@
             deleted: Vec::new(),
             ghosts: BTreeSet::new(),
             given_up_alive: BTreeSet::new(),
+            judged: BTreeSet::new(),
+            stray_calls: 0,
+            rivals_s: 0.0,
+            rivals_since: None,
             answered_at: BTreeMap::new(),
             gone: BTreeMap::new(),
             leaderless_s: 0.0,
@@ -427,6 +438,7 @@
                 }
             }
             Output::Cloud(call, op) => {
+                self.stray_calls += u64::from(self.replaced(n));
                 self.open_call(n, call, 5.0, Input::Cloud(call, CloudReply::Unknown));
                 if let Some(at) = self.through(0.0) {
                     self.push(at + 0.1, Ev::CloudArrives(n, inc, call, op));
@@ -463,6 +475,21 @@
         }
     }
 
+    fn token(&self, n: usize) -> Option<u64> {
+        self.nodes[n].core.as_ref().and_then(Core::token)
+    }
+
+    /// The node that leads with the highest token.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len()).filter(|&n| self.token(n).is_some()).max_by_key(|&n| self.token(n))
+    }
+
+    /// Whether a node leads while another leads with a higher token.
+    fn replaced(&self, n: usize) -> bool {
+        let newest = (0..self.nodes.len()).filter_map(|m| self.token(m)).max();
+        self.token(n).is_some_and(|t| newest > Some(t))
+    }
+
     fn inside(&self, zone: &str) -> bool {
         self.now < self.zone_cut.0 && zone == self.zone_cut.1
     }
@@ -846,14 +873,27 @@
         let now = self.now;
         let (lease_s, silent_s) =
             (self.settings.params.workers.lease_s, Derived::from(&self.settings).silent_s);
-        for core in self.nodes.iter().filter_map(|n| n.core.as_ref()) {
+        for (n, node) in self.nodes.iter().enumerate() {
+            let Some(core) = &node.core else { continue };
             let long_gone = |id: &&str| self.gone.get(*id).is_some_and(|at| now - at > silent_s);
             self.ghosts.extend(core.usable_machines().filter(long_gone).map(String::from));
-            let alive = |id: &&str| {
-                let worker = self.workers.get(*id);
+            let alive = |id: &str| {
+                let worker = self.workers.get(id);
                 worker.is_some_and(|w| now < w.renewed + lease_s && now - w.hung_until > silent_s)
             };
-            self.given_up_alive.extend(core.given_up().filter(alive).map(String::from));
+            // As it is when it is given up: what hangs may come back later.
+            for id in core.given_up() {
+                let first = self.judged.insert((n, core.token().unwrap_or(0), id.to_string()));
+                if first && alive(id) {
+                    self.given_up_alive.insert(id.to_string());
+                }
+            }
+        }
+        if (0..self.nodes.len()).any(|n| self.replaced(n)) {
+            let since = *self.rivals_since.get_or_insert(now);
+            self.rivals_s = self.rivals_s.max(now - since);
+        } else {
+            self.rivals_since = None;
         }
     }
 
--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -122,3 +122,11 @@
         (t.accelerators, t.accelerators_max) = (0.0, 0.0);
     }
 }
+
+/// How soon a process that ended is started again: at once or within seconds, each for
+/// half of the ends.
+#[allow(dead_code)]
+pub fn returns(seed: u64) -> impl FnMut() -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xba_c4);
+    move || if rng.gen() { rng.gen_range(0.0..0.5) } else { rng.gen_range(0.5..10.0) }
+}
--- a/crates/testkit/tests/gateways.rs
+++ b/crates/testkit/tests/gateways.rs
@@ -10,6 +10,15 @@
 
 /// Troubles of gateways above all, and the older ones among them.
 fn troubles(seed: u64) -> Vec<(f64, Fault)> {
+    troubles_with(seed, returns(seed))
+}
+
+/// The same with processes that are back after 8 s, as the seeds below were found.
+fn late_returns(seed: u64) -> Vec<(f64, Fault)> {
+    troubles_with(seed, || 8.0)
+}
+
+fn troubles_with(seed: u64, mut back: impl FnMut() -> f64) -> Vec<(f64, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x9a7e);
     (0..10)
         .map(|_| {
@@ -23,7 +32,7 @@
                 3 => Fault::ZoneCut { zone: ["a", "b"][nth % 2], for_s },
                 4 | 5 => Fault::Wander { for_s },
                 6 => Fault::Silent { node, for_s },
-                7 => Fault::Crash { node, for_s: 8.0 },
+                7 => Fault::Crash { node, for_s: back() },
                 8 => Fault::Cut { node, state: rng.gen(), workers: rng.gen(), for_s },
                 9 => Fault::StateRefuses { node, for_s },
                 10 => Fault::Hang { nth, for_s },
@@ -34,7 +43,7 @@
         .collect()
 }
 
-fn holds(seeds: std::ops::Range<u64>) {
+fn holds(seeds: std::ops::Range<u64>, troubles: impl Fn(u64) -> Vec<(f64, Fault)>) {
     for seed in seeds {
         let faults = troubles(seed);
         let mut sim = Sim::new(setup(seed, faults.clone()));
@@ -46,7 +55,7 @@
 
 #[test]
 fn gateways_among_troubles_break_no_rule() {
-    holds(1000..1030);
+    holds(1000..1030, troubles);
 }
 
 /// Of these, 2437 divided an array bound to a zone for its floor, and its parts ran in
@@ -54,8 +63,8 @@
 /// an idle one, which was counted as its own.
 #[test]
 fn seeds_that_once_failed_hold() {
-    holds(2437..2438);
-    holds(2177..2178);
+    holds(2437..2438, late_returns);
+    holds(2177..2178, late_returns);
 }
 
 /// The same over hundreds of seeds; minutes, so not in CI.
@@ -64,7 +73,7 @@
 fn gateways_among_many_troubles_break_no_rule() {
     std::thread::scope(|s| {
         for part in 0..8 {
-            s.spawn(move || holds(2000 + part * 100..2100 + part * 100));
+            s.spawn(move || holds(2000 + part * 100..2100 + part * 100, troubles));
         }
     });
 }
--- a/crates/testkit/tests/returns.rs
+++ b/crates/testkit/tests/returns.rs
@@ -156,3 +156,49 @@
         }
     }
 }
+
+/// A leader that the state service does not reach, or alone is refused by, is replaced. It
+/// asks nothing of the cloud from then on and judges no machine, and it leads no longer once
+/// another node says that there is a newer one. (It once went on for a minute: it
+/// listed the cloud beside its successor and gave the whole fleet up in its own books.)
+#[test]
+fn a_replaced_leader_rests() {
+    for seed in 0..12 {
+        let mut sim = full_of(3 + seed as usize % 3, seed, 24);
+        let Some(leader) = sim.leader() else { panic!("seed {seed}: nobody leads") };
+        let apart = seed % 3 == 2;
+        let (state, workers, for_s) = (true, seed % 2 == 0, 60.0);
+        sim.strike(match seed % 4 {
+            0 => Fault::StateRefuses { node: leader, for_s },
+            _ => Fault::Cut { node: leader, state, workers, for_s },
+        });
+        if apart {
+            sim.strike(Fault::PeersCut { node: leader, for_s });
+        }
+        assert_eq!(sim.run(170.0), [], "seed {seed}");
+        assert_ne!(sim.leader(), Some(leader), "seed {seed}");
+        assert_eq!(sim.stray_calls, 0, "seed {seed}");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+        if !apart {
+            // Views go out that often; one may be lost.
+            assert!(sim.rivals_s < derived().renew_s * 2.5, "seed {seed}: {}", sim.rivals_s);
+        }
+    }
+}
+
+/// The state service is away for longer than the leader's grace: the workers go from node
+/// to node in vain meanwhile, and what is silent when it comes back is kept until it
+/// could have been heard.
+#[test]
+fn nobody_is_given_up_for_an_outage() {
+    for seed in 0..8 {
+        let mut sim = full_of(3 + seed as usize % 3, seed, 24);
+        sim.strike(Fault::StateOutage { for_s: derived().grace_s + 4.0 + 3.0 * seed as f64 });
+        if seed % 2 == 1 {
+            sim.strike(Fault::Cut { node: 0, state: false, workers: true, for_s: 40.0 });
+        }
+        assert_eq!(sim.run(220.0), [], "seed {seed}");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+        assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
+    }
+}
--- a/crates/testkit/tests/simulation.rs
+++ b/crates/testkit/tests/simulation.rs
@@ -9,6 +9,15 @@
 use wire::job::*;
 
 fn troubles(seed: u64) -> Vec<(f64, Fault)> {
+    troubles_with(seed, returns(seed))
+}
+
+/// The same with processes that are back after 8 s, as the seeds below were found.
+fn late_returns(seed: u64) -> Vec<(f64, Fault)> {
+    troubles_with(seed, || 8.0)
+}
+
+fn troubles_with(seed: u64, mut back: impl FnMut() -> f64) -> Vec<(f64, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0xfa17);
     (0..8)
         .map(|_| {
@@ -17,7 +26,7 @@
             let for_s: f64 = rng.gen_range(2.0..35.0);
             let nth = rng.gen_range(0..6);
             let fault = match rng.gen_range(0..10) {
-                0 => Fault::Crash { node, for_s: 8.0 },
+                0 => Fault::Crash { node, for_s: back() },
                 1 => Fault::StateOutage { for_s: for_s.min(25.0) },
                 2 => Fault::StateRefuses { node, for_s },
                 3 => Fault::Cut { node, state: rng.gen(), workers: rng.gen(), for_s },
@@ -47,7 +56,7 @@
     // 3087: a late watch event brought a settled job's placements back. 6233: a leader
     // that was cut off took its failed move of a job for done.
     for seed in (0..24).chain([3087, 6233]) {
-        let faults = troubles(seed);
+        let faults = if seed < 24 { troubles(seed) } else { late_returns(seed) };
         let mut sim = Sim::new(setup(seed, faults.clone()));
         assert_eq!(sim.run(700.0), [], "seed {seed}: {faults:?}");
         assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}: {faults:?}");
@@ -59,7 +68,7 @@
     for seed in 100..108 {
         let mut faults = troubles(seed);
         // All five crash together, in the middle of whatever goes on.
-        faults.extend((0..5).map(|node| (90.0, Fault::Crash { node, for_s: 5.0 })));
+        faults.extend((0..5).map(|node| (90.0, Fault::Crash { node, for_s: [0.2, 5.0][seed as usize % 2] })));
         let mut sim = Sim::new(Setup { nodes: 5, ..setup(seed, faults.clone()) });
         assert_eq!(sim.run(700.0), [], "seed {seed}: {faults:?}");
         assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}: {faults:?}");
@@ -71,7 +80,7 @@
 fn broken_jobs_among_troubles_break_no_rule() {
     // 6198: a gang waited for ever beside an idle machine that it had failed on.
     for seed in (200..212).chain([6198]) {
-        let faults = troubles(seed);
+        let faults = if seed < 212 { troubles(seed) } else { late_returns(seed) };
         let mut s = setup(seed, faults.clone());
         for (at, spec, cancel) in s.jobs.iter_mut().step_by(5) {
             s.broken.insert(spec.id.clone());
@@ -373,7 +382,10 @@
             .chain([
                 (50.0, Fault::Cut { node: 0, state: true, workers: false, for_s: 100.0 }),
                 (50.0, Fault::Cut { node: 1, state: true, workers: false, for_s: 100.0 }),
-                // Its successor's direct stops would end the tasks in time.
+                // Else they would hear of their successor.
+                (50.0, Fault::PeersCut { node: 0, for_s: 100.0 }),
+                (50.0, Fault::PeersCut { node: 1, for_s: 100.0 }),
+                // Its direct stops would end the tasks in time.
                 (50.0, Fault::Cut { node: 2, state: false, workers: true, for_s: 100.0 }),
             ])
             .collect()
