--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -1,7 +1,8 @@
-//! `anisecroft-report`: who was served, from controllers' logs and the journal.
+//! `anisecroft-report`: who was served, from controllers' logs and the journal, and days
+//! of our own.
 
-use anisecroft_report::{aims, Row, Served};
-use clap::{Parser, Subcommand};
+use anisecroft_report::*;
+use clap::{Args, Parser, Subcommand};
 use std::io::BufRead;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -32,6 +33,44 @@
         #[arg(long, default_value_t = 1.1)]
         below: f64,
     },
+    /// Makes days of our own for deployments, plays them on the bench and tells what
+    /// came of them. Fails if a day does not hold.
+    Days(Days),
+    /// Means by day of two tables that `days` has written.
+    Compare { before: PathBuf, after: PathBuf },
+}
+
+#[derive(Args)]
+struct Days {
+    /// Site files.
+    #[arg(required = true)]
+    sites: Vec<PathBuf>,
+    /// The bench's program; without it the files are made and nothing is played.
+    #[arg(long)]
+    bench: Option<PathBuf>,
+    /// Where the days' files are.
+    #[arg(long, default_value = "days")]
+    days: PathBuf,
+    /// Where files, reports and `table.json` go.
+    #[arg(long)]
+    out: PathBuf,
+    /// Only days whose names begin with one of these.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<String>,
+    /// Multiples of the sites' machines and jobs.
+    #[arg(long, value_delimiter = ',', default_value = "1.0")]
+    sizes: Vec<f64>,
+    /// Seconds after which processes are started again; `own` is the site's figure.
+    #[arg(long, value_delimiter = ',', default_value = "0.2")]
+    back: Vec<String>,
+    #[arg(long, value_delimiter = ',', default_value = "77")]
+    seeds: Vec<u64>,
+    /// Days at once.
+    #[arg(long, default_value_t = 4)]
+    jobs: usize,
+    /// Why, for the journal.
+    #[arg(long, default_value = "Days of our own.")]
+    why: String,
 }
 
 fn read(path: &Path) -> Result<Box<dyn BufRead>, String> {
@@ -81,10 +120,123 @@
     Ok(true)
 }
 
+fn named<T, E: std::fmt::Display>(path: &Path, result: Result<T, E>) -> Result<T, String> {
+    result.map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// The days' files, by name.
+fn day_files(dir: &Path, only: &[String]) -> Result<Vec<(String, DayFile)>, String> {
+    let mut files = Vec::new();
+    for entry in named(dir, std::fs::read_dir(dir))? {
+        let path = named(dir, entry)?.path();
+        if path.extension().is_some_and(|e| e == "toml") {
+            let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            let text = named(&path, std::fs::read_to_string(&path))?;
+            files.push((name, named(&path, DayFile::parse(&text))?));
+        }
+    }
+    files.sort_by(|a, b| a.0.cmp(&b.0));
+    let begins = |day: &str| only.is_empty() || only.iter().any(|o| day.starts_with(o) || o.starts_with(day));
+    files.retain(|(name, _)| begins(name));
+    Ok(files)
+}
+
+impl Days {
+    fn variants(&self) -> Result<Vec<Variant>, String> {
+        let mut variants = Vec::new();
+        for &size in &self.sizes {
+            for back in &self.back {
+                let back_s = match back.as_str() {
+                    "own" => None,
+                    s => Some(s.parse().map_err(|_| format!("--back {s}: say seconds, or own"))?),
+                };
+                variants.push(Variant { size, back_s });
+            }
+        }
+        Ok(variants)
+    }
+
+    /// Writes every day's files; what is to be played.
+    fn make(&self) -> Result<Vec<Run>, String> {
+        let files = day_files(&self.days, &self.only)?;
+        named(&self.out, std::fs::create_dir_all(&self.out))?;
+        let mut runs = Vec::new();
+        for path in &self.sites {
+            let site = named(path, std::fs::read_to_string(path).map_err(|e| e.to_string()))?;
+            let site = named(path, Site::parse(&site))?;
+            // Examples of messages lie beside a site file.
+            let beside = path.with_file_name("wire.json");
+            if beside.exists() {
+                let copy = self.out.join("wire.json");
+                if !copy.exists() {
+                    named(&copy, std::fs::copy(&beside, &copy))?;
+                }
+            }
+            let site_name = named(path, site.name())?.to_string();
+            for v in self.variants()? {
+                let variant = site.variant(v);
+                let allowance = named(path, variant.allowance())?;
+                for (name, file) in &files {
+                    for made in named(path, file.make(name, &variant))? {
+                        if !self.only.is_empty() && !self.only.iter().any(|o| made.name.starts_with(o)) {
+                            continue;
+                        }
+                        let stem = format!("{site_name}-{}-{}", v.name().replace(' ', "-"), made.name);
+                        let (site_file, day_file) = (
+                            self.out.join(format!("{stem}.site.toml")),
+                            self.out.join(format!("{stem}.toml")),
+                        );
+                        named(&site_file, std::fs::write(&site_file, made.site.text()))?;
+                        named(&day_file, std::fs::write(&day_file, &made.text))?;
+                        runs.extend(self.seeds.iter().map(|&seed| Run {
+                            site: site_name.clone(),
+                            variant: v.name(),
+                            day: made.name.clone(),
+                            seed,
+                            site_file: site_file.clone(),
+                            day_file: day_file.clone(),
+                            report: self.out.join(format!("{stem}-{seed}.json")),
+                            allowance,
+                        }));
+                    }
+                }
+            }
+        }
+        if runs.is_empty() {
+            return Err("no day of that name".into());
+        }
+        Ok(runs)
+    }
+
+    fn play(&self) -> Result<bool, String> {
+        let runs = self.make()?;
+        let Some(bench) = &self.bench else {
+            runs.iter().for_each(|r| println!("{} {}", r.site_file.display(), r.day_file.display()));
+            return Ok(true);
+        };
+        let (outcomes, failed) = play_all(bench, &self.why, runs, self.jobs);
+        let path = self.out.join("table.json");
+        let json = serde_json::to_string_pretty(&outcomes).map_err(|e| e.to_string())?;
+        named(&path, std::fs::write(&path, json))?;
+        print!("{}", table(&outcomes));
+        Ok(failed == 0 && outcomes.iter().all(Outcome::holds))
+    }
+}
+
+fn outcomes(path: &Path) -> Result<Vec<Outcome>, String> {
+    let text = named(path, std::fs::read_to_string(path))?;
+    named(path, serde_json::from_str(&text))
+}
+
 fn main() -> ExitCode {
     let result = match Cli::parse().verb {
         Verb::Served { logs, least } => served(&logs, least),
         Verb::Aims { entries, below } => least_aims(&entries, below),
+        Verb::Days(days) => days.play(),
+        Verb::Compare { before, after } => outcomes(&before).and_then(|b| {
+            print!("{}", compare(&b, &outcomes(&after)?));
+            Ok(true)
+        }),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
