A gang goes on gathering when some of it give up waiting for a long fetch

An image of 25 GB takes 50 s where `gang_wait_s` is 45: the machines that had it gave up (`alone`), the leader took that for the attempt's end and stopped the others, and with them every fetch. Seventeen attempts went that way; seen in the places of every gang that had not run for a minute.

Ruled out: launching late where the image is (fetches vary by a third and share their rate; a guess too short is the same loop again).

Change: while all its tasks have places on machines that are heard and none has run, a task that exited `alone` is cleared and launched again in one answer, with the same attempt, as the protocol allows ("a replacement with the same attempt number completes the gang"), for four waits at most (`gather_s`). The placement in the store does not change, so nothing is written; no place is released, so nothing can run twice; the report proves that no older launch is under way, answers to direct commands prove nothing here and are passed over.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -182,6 +182,10 @@
             match mine {
                 Some(p) => {
                     if t.state == TaskState::Exited {
+                        // Its end, or its next start, may be on its way.
+                        if t.cause == Some(ExitCause::Alone) && !beat {
+                            continue;
+                        }
                         exits.push((job_id.to_string(), number, t.clone()));
                     } else {
                         let first = p.seen.is_none();
@@ -277,6 +281,9 @@
     fn on_exit(&mut self, machine: &str, id: &str, task: u32, t: &TaskReport) {
         let now = self.now;
         let report_s = self.settings.params.workers.report_s;
+        if t.cause == Some(ExitCause::Alone) && self.waits_on(id, task) {
+            return;
+        }
         let Role::Leader(l) = &mut self.role else { return };
         let Some(job) = l.jobs.get_mut(id) else { return };
         let Some(place) = job.places.get(&task).cloned() else { return };
@@ -335,6 +342,32 @@
         }
     }
 
+    /// `task` gave up waiting for the others of its gang, which are all alive and have not
+    /// run: it is started again where it is, with the same attempt, and the gang goes
+    /// on gathering. (An image that takes longer than `gang_wait_s` kept gangs from
+    /// ever starting: those that had it gave up, the attempt ended, and with it
+    /// every fetch, seventeen times within a day.) False once that has taken too long.
+    fn waits_on(&mut self, id: &str, task: u32) -> bool {
+        let (now, d) = (self.now, self.d);
+        let Role::Leader(l) = &mut self.role else { return false };
+        let machines = &l.machines;
+        let Some(job) = l.jobs.get_mut(id) else { return false };
+        let whole = job.places.len() == job.spec.tasks as usize && !job.aborting && !job.is_final();
+        let gathers = |p: &Place| {
+            let there = |m: &Machine| m.takes_work() && m.heard_lately(now, &d);
+            let fresh = p.stopping.is_none() && p.running_since.is_none() && now - p.placed_at < d.gather_s;
+            fresh && machines.get(&p.machine).is_some_and(there)
+        };
+        if !whole || !job.places.values().all(gathers) {
+            return false;
+        }
+        if let Some(p) = job.places.get_mut(&task) {
+            // No answer with a launch is under way: the report is newer than any.
+            (p.seen, p.inherited) = (None, false);
+        }
+        true
+    }
+
     /// Whose fault is it? Different jobs failing on a machine speak against the
     /// machine, a job failing on different machines against the job, and what
     /// succeeded before or elsewhere counts. (Quarantine at the first failure cost
@@ -504,6 +537,12 @@
                 (TaskState::Exited, None) if job.is_none_or(|j| j.outcome_stored(number)) => {
                     commands.push(command(Verb::Forget, None));
                 }
+                // It starts anew there: `waits_on`.
+                (TaskState::Exited, Some(p))
+                    if entitled && p.committed && p.seen.is_none() && p.stopping.is_none() =>
+                {
+                    commands.push(command(Verb::Forget, None));
+                }
                 (TaskState::Exited, _) => {}
                 (_, None) => commands.push(command(Verb::Stop, Some(0.0))),
                 (_, Some(p)) => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -287,6 +287,10 @@
     pub tour_s: f64,
     /// Silence after which a machine is looked at: three reports missed.
     pub silent_s: f64,
+    /// An attempt of a gang is kept together that long from its launch on, with its tasks
+    /// that gave up waiting started again: four waits, in which the largest image
+    /// comes to the slowest machine.
+    pub gather_s: f64,
     /// Machines of a zone that is out of reach are kept that long: three leases. The
     /// first shows that nothing runs there any more; two more cost about what
     /// the same machines would cost that are rented anew and have to boot.
@@ -333,6 +337,7 @@
             lease_over_s: w.lease_s * DRIFT + 0.5,
             tour_s: WORKER_TIMEOUT_S + 1.0,
             silent_s: w.report_s * 3.5,
+            gather_s: w.gang_wait_s * 4.0,
             dark_hold_s: w.lease_s * 3.0,
             starving_s: w.lease_s * 3.0,
             heard_s: w.report_s * 3.0,
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -58,6 +58,11 @@
     Take {
         nth: usize,
     },
+    /// A machine takes that long to fetch a job's image.
+    SlowFetch {
+        nth: usize,
+        fetch_s: f64,
+    },
     /// A machine fails every task that it starts.
     Sick {
         nth: usize,
@@ -720,6 +725,9 @@
             let launch = split_task(&c.task).and_then(|(j, _)| self.launch_of(j));
             let now = self.now;
             if let Some(w) = self.workers.get_mut(vm) {
+                let job = split_task(&c.task).map_or("", |(j, _)| j);
+                let slow = w.fetch_s.filter(|_| !w.fetched.contains(job));
+                let launch = launch.map(|l| Launch { fetch_s: slow.unwrap_or(l.fetch_s) });
                 w.command(now, c, launch);
             }
         }
@@ -942,6 +950,9 @@
             }
         }
         for (vm, key) in arrived {
+            if let Some(w) = self.workers.get_mut(&vm) {
+                w.fetched.insert(key.0.clone());
+            }
             self.starts += 1;
             self.check_start(&vm, &key);
         }
@@ -1194,6 +1205,11 @@
                     self.drop_deleted();
                 }
             }
+            Fault::SlowFetch { nth: n, fetch_s } => {
+                if let Some(w) = nth(self, n).and_then(|id| self.workers.get_mut(&id)) {
+                    w.fetch_s = Some(fetch_s);
+                }
+            }
             Fault::Silent { node, for_s } => self.nodes[node].silent = now + for_s,
             Fault::PeersRefuse { for_s } => self.peers_refused = now + for_s,
             Fault::PeersCut { node, for_s } => self.nodes[node].cut_peers = now + for_s,
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker: leases, tokens, tasks, commands.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::ListedMachine;
 use wire::worker::*;
 
@@ -51,6 +51,9 @@
     pub in_flight: Option<(u64, u64, f64)>,
     pub tasks: BTreeMap<TaskKey, Task>,
     pub faulty: bool,
+    /// What a job's first fetch takes here; its image stays.
+    pub fetch_s: Option<f64>,
+    pub fetched: BTreeSet<String>,
     pub hung_until: f64,
     token_changed_at: f64,
 }
@@ -74,6 +77,8 @@
             in_flight: None,
             tasks: BTreeMap::new(),
             faulty: false,
+            fetch_s: None,
+            fetched: BTreeSet::new(),
             hung_until: 0.0,
             token_changed_at: f64::MIN,
         }
--- a/crates/testkit/tests/simulation.rs
+++ b/crates/testkit/tests/simulation.rs
@@ -147,6 +147,28 @@
     assert!(sim.rented() <= 7, "{} rented for five", sim.rented());
 }
 
+/// An image takes longer on some machines than a gang's tasks wait for each other; some
+/// seeds have a takeover meanwhile, some a cancellation. (Those that had it gave up, and
+/// with their attempt every fetch ended: such gangs never started.)
+#[test]
+fn a_gang_outlasts_a_long_fetch() {
+    let wait_s = settings().params.workers.gang_wait_s;
+    for seed in 0..12 {
+        let first = JobSpec { estimate_s: 5.0, ..wide("req-1", 3, Priority::Normal, 4.0) };
+        let gang = JobSpec { shape: Shape::Gang, estimate_s: 20.0, ..wide("req-2", 3, Priority::High, 4.0) };
+        let cancel = (seed % 4 == 3).then_some(60.0 + wait_s * 1.1);
+        let slow = |nth| (40.0, Fault::SlowFetch { nth, fetch_s: wait_s * (1.6 + nth as f64) });
+        let mut faults: Vec<_> = (0..1 + seed as usize % 2).map(slow).collect();
+        if seed % 4 == 1 {
+            faults.extend((0..3).map(|node| (60.0 + wait_s, Fault::Crash { node, for_s: 0.2 })));
+        }
+        let jobs = vec![(1.0, first, None), (45.0, gang, cancel)];
+        let mut sim = Sim::new(Setup { faults, seed, ..roomy(jobs, 3) });
+        assert_eq!(sim.run(90.0 + wait_s * 3.6), [], "seed {seed}");
+        assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// A machine that fails its tasks is still found after a few of them.
 #[test]
 fn a_sick_machine_is_found_within_a_few_failures() {
