--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -51,7 +51,7 @@
     /// Where the days' files are.
     #[arg(long, default_value = "days")]
     days: PathBuf,
-    /// Where files, reports and `table.json` go.
+    /// Where files, reports and `table.json` go; days that stand there are not played again.
     #[arg(long)]
     out: PathBuf,
     /// Only days whose names begin with one of these.
@@ -202,6 +202,8 @@
                 }
             }
         }
+        // Every day once before any of them again.
+        runs.sort_by_key(|r| self.seeds.iter().position(|s| *s == r.seed));
         if runs.is_empty() {
             return Err("no day of that name".into());
         }
@@ -214,10 +216,20 @@
             runs.iter().for_each(|r| println!("{} {}", r.site_file.display(), r.day_file.display()));
             return Ok(true);
         };
-        let (outcomes, failed) = play_all(bench, &self.why, runs, self.jobs);
         let path = self.out.join("table.json");
-        let json = serde_json::to_string_pretty(&outcomes).map_err(|e| e.to_string())?;
-        named(&path, std::fs::write(&path, json))?;
+        let known = if path.exists() { outcomes(&path)? } else { Vec::new() };
+        let all = runs.len();
+        let new = |r: &Run| !known.iter().any(|o| o.is_of(&r.site, &r.variant, &r.day, r.seed));
+        let runs: Vec<Run> = runs.into_iter().filter(new).collect();
+        if runs.len() < all {
+            eprintln!("{} of {all} are in {} already", all - runs.len(), path.display());
+        }
+        let keep = |outcomes: &[Outcome]| {
+            let json = serde_json::to_string_pretty(outcomes).map_err(|e| e.to_string());
+            let written = json.and_then(|j| named(&path, std::fs::write(&path, j)));
+            written.unwrap_or_else(|why| eprintln!("anisecroft-report: {why}"));
+        };
+        let (outcomes, failed) = play_all(bench, &self.why, runs, self.jobs, known, keep);
         print!("{}", table(&outcomes));
         Ok(failed == 0 && outcomes.iter().all(Outcome::holds))
     }
--- a/crates/report/src/outcome.rs
+++ b/crates/report/src/outcome.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Whether it is that day, played with that seed.
+    pub fn is_of(&self, site: &str, variant: &str, day: &str, seed: u64) -> bool {
+        (self.site.as_str(), self.variant.as_str(), self.day.as_str(), self.seed)
+            == (site, variant, day, seed)
+    }
+
     /// The class or team that was served least, by what was done and done in time.
     pub fn least(&self) -> Option<&Share> {
         let by = |s: &Share| s.done.min(s.in_time);
--- a/crates/report/src/play.rs
+++ b/crates/report/src/play.rs
@@ -67,12 +67,21 @@
     Ok((logged, mark, last))
 }
 
-/// Plays all `runs`, `at_once` of them at a time, and tells how far it is. A day that
+/// Plays all `runs`, `at_once` of them at a time, and tells how far it is; `keep` gets all
+/// outcomes after each day, so that nothing is lost when it is ended. A day that
 /// could not be played is told and left out.
-pub fn play_all(bench: &Path, why: &str, runs: Vec<Run>, at_once: usize) -> (Vec<Outcome>, usize) {
+pub fn play_all(
+    bench: &Path,
+    why: &str,
+    runs: Vec<Run>,
+    at_once: usize,
+    known: Vec<Outcome>,
+    keep: impl Fn(&[Outcome]) + Sync,
+) -> (Vec<Outcome>, usize) {
     let (all, begun) = (runs.len(), Instant::now());
     let waiting = Mutex::new(VecDeque::from(runs));
-    let done: Mutex<(Vec<Outcome>, usize)> = Mutex::default();
+    let before = known.len();
+    let done = Mutex::new((known, 0));
     let next = || waiting.lock().ok()?.pop_front();
     std::thread::scope(|s| {
         for _ in 0..at_once.max(1) {
@@ -80,7 +89,7 @@
                 while let Some(run) = next() {
                     let played = play(bench, why, &run);
                     let Ok(mut done) = done.lock() else { return };
-                    let n = done.0.len() + done.1 + 1;
+                    let n = done.0.len() - before + done.1 + 1;
                     let spent = begun.elapsed().as_secs_f64();
                     let left = spent / n as f64 * (all - n) as f64 / 60.0;
                     let what = format!("{} {} {} {}", run.site, run.variant, run.day, run.seed);
@@ -90,6 +99,7 @@
                             let held = if o.holds() { "" } else { ", does not hold" };
                             eprintln!("{n}/{all} {what}: {mark}{held}; about {left:.0} min left");
                             done.0.push(o);
+                            keep(&done.0);
                         }
                         Err(why) => {
                             eprintln!("{n}/{all} {what}: not played: {why}");
--- /dev/null
+++ b/crates/report/tests/days.rs
@@ -0,0 +1,177 @@
+//! Days of our own, made for a site, and what is told of them.
+
+use anisecroft_report::*;
+use proptest::prelude::*;
+use serde_json::json;
+
+const SITE: &str = r#"
+name = "tiles"
+duration_s = 400.0
+warmup_s = 100.0
+[nodes]
+count = 5
+memory_mb = 100.0
+max_connections = 1000
+restart_delay_s = 8.0
+[workers]
+lease_s = 30.0
+[[capacity]]
+zone = "east"
+count = 60
+spot = 20
+[[capacity]]
+zone = "west"
+count = 20
+spot = 0
+[[machines]]
+zone = "east"
+spot = false
+count = 10
+[[teams]]
+name = "maps"
+weight = 2.0
+gpus = 40.0
+[[teams]]
+name = "labs"
+[[jobs]]
+name = "survey"
+priority = "low"
+initial = 7
+arrivals = { rate = 0.5 }
+[[jobs]]
+name = "alarm"
+priority = "high"
+initial = 3
+"#;
+
+fn site() -> Site {
+    Site::parse(SITE).unwrap()
+}
+
+fn faults(made: &Made) -> Vec<toml::Table> {
+    let day: toml::Table = made.text.parse().unwrap();
+    day["faults"].as_array().unwrap().iter().map(|f| f.as_table().unwrap().clone()).collect()
+}
+
+/// Names, counts and times come from the site, and every day that a file stands for is made.
+#[test]
+fn a_day_takes_its_names_and_amounts_from_the_site() {
+    let text = r#"
+about = "a test"
+each_class = true
+[[trouble]]
+kind = "node_crash"
+nodes = "all but one"
+at = 0.5
+times = 3
+every_leases = 0.1
+[[trouble]]
+kind = "job_burst"
+class = "each"
+at = 0.0
+for_leases = 2.0
+[[with]]
+name = "third"
+[[with.trouble]]
+kind = "machine_die"
+machines = 0.25
+zone = 3
+at = 1.0
+"#;
+    let made = DayFile::parse(text).unwrap().make("roll", &site()).unwrap();
+    let names: Vec<&str> = made.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!(names, ["roll-0", "roll-1", "roll-third-0", "roll-third-1"]);
+    let first = faults(&made[0]);
+    let at: Vec<f64> = first.iter().map(|f| f["at_s"].as_float().unwrap()).collect();
+    assert_eq!(at, [250.0, 253.0, 256.0, 100.0]);
+    assert_eq!(first[0]["count"].as_integer(), Some(4));
+    assert_eq!((first[3]["class"].as_str(), first[3]["for_s"].as_float()), (Some("survey"), Some(60.0)));
+    let last = faults(&made[3]);
+    assert_eq!(last[3]["class"].as_str(), Some("alarm"));
+    assert_eq!((last[4]["count"].as_integer(), last[4]["zone"].as_str()), (Some(25), Some("west")));
+}
+
+#[test]
+fn a_day_that_makes_no_sense_says_what_to_do() {
+    let make = |trouble: &str| {
+        let text = format!("about = \"x\"\n[[trouble]]\nkind = \"node_crash\"\n{trouble}");
+        DayFile::parse(&text).and_then(|d| d.make("x", &site())).unwrap_err().to_string()
+    };
+    assert_eq!(make("nodes = \"all\""), "a trouble needs `at`");
+    assert!(make("at = 0.1\nnodes = \"most\"").contains("say one, all but one or all"));
+    assert!(make("at = 0.1\nclass = \"survey\"").contains("say a number"));
+    assert!(DayFile::parse("about = \"x\"\neach_zone = true").is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    /// Whatever the size: machines, jobs and teams grow alike, and the controllers stay.
+    #[test]
+    fn a_variant_scales_the_load_alone(size in 0.1f64..4.0, back in 0.0f64..20.0) {
+        let v = site().variant(Variant { size, back_s: Some(back) });
+        prop_assert!((v.machines() - 100.0 * size).abs() <= 1.5, "{}", v.machines());
+        prop_assert_eq!(v.allowance().unwrap(), (100.0, 1000.0));
+        prop_assert_eq!(v.nodes().unwrap(), 5);
+        let t: toml::Table = v.text().parse().unwrap();
+        prop_assert_eq!(t["nodes"]["restart_delay_s"].as_float(), Some(back));
+        prop_assert_eq!(t["machines"][0]["spot"].as_bool(), Some(false));
+        prop_assert_eq!(t["machines"][0]["count"].as_integer(), Some((10.0 * size).round() as i64));
+        prop_assert_eq!(t["teams"][0]["gpus"].as_float(), Some((40.0 * size).round()));
+        prop_assert_eq!(t["teams"][0]["weight"].as_float(), Some(2.0));
+        prop_assert!((t["jobs"][0]["arrivals"]["rate"].as_float().unwrap() - 0.5 * size).abs() < 1e-9);
+    }
+}
+
+/// The least of what was done and done in time decides, by class and by team.
+#[test]
+fn a_day_holds_if_nobody_is_below_half() {
+    let report = |in_time: f64, why: &str| {
+        json!({
+            "rules_broken": {"total": 0},
+            "users": {"asked": 90, "asked_in_vain": 5, "submitted": 10, "accepted": 10},
+            "classes": {"survey": {"jobs": 12, "cancelled": 2, "started": 12, "done": 10},
+                        "alarm": {"jobs": 4, "cancelled": 0, "started": 4, "done": 3}},
+            "targets": [{"kind": "deadline", "class": "survey", "value": in_time},
+                        {"kind": "wait", "class": "survey", "value": 0.1}],
+            "node_stats": [{"memory_peak_mb": 20.0, "connections_peak": 500, "restarts": [{"why": "fault"}]},
+                           {"memory_peak_mb": 30.0, "connections_peak": 100, "restarts": [{"why": why}]}],
+            "fleet": {"tasks_killed_by_lease": 2, "tasks_lost": 5},
+        })
+    };
+    let mut logged = Served::default();
+    for (id, late) in [(1, "false"), (2, "true"), (3, "true")] {
+        logged.line(&format!("INFO job accepted job=req-{id} class=survey team=maps"));
+        logged.line(&format!("INFO job over job=req-{id} class=survey team=maps status=done late={late}"));
+    }
+    let outcome = |in_time, why, logged: &Served| {
+        Outcome::new(("tiles", "x1", "roll", 7), &report(in_time, why), logged, (100.0, 1000.0))
+    };
+    let good = outcome(0.6, "fault", &Served::default());
+    assert!(good.holds());
+    assert_eq!((good.peaks, good.unanswered, good.own_ends), ((0.3, 0.5), 0.05, 0));
+    assert_eq!(good.least().map(|s| s.name.as_str()), Some("survey"));
+    assert!(!outcome(0.4, "fault", &Served::default()).holds(), "a class in time");
+    assert!(!outcome(0.6, "memory", &Served::default()).holds(), "a process that ended by itself");
+    let team = outcome(0.6, "fault", &logged);
+    assert!(!team.holds(), "a team in time");
+    assert_eq!(team.least().map(|s| (s.name.as_str(), s.asked)), Some(("team maps", 3)));
+    let told = table(&[good.clone(), team.clone()]);
+    assert!(told.contains("!team maps 1.000 1.000 0.333"), "{told}");
+    let with = |mark| Outcome { mark: Some(mark), ..good.clone() };
+    let told = compare(&[with(0.5), with(0.6)], &[with(0.7)]);
+    assert!(told.contains("2/1") && told.contains("+0.150"), "{told}");
+}
+
+/// The days that are kept here can be made for any site.
+#[test]
+fn the_kept_days_can_be_made() {
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../days");
+    let mut made = 0;
+    for entry in std::fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        let day = DayFile::parse(&std::fs::read_to_string(&path).unwrap()).unwrap();
+        assert!(!day.about.is_empty());
+        made += day.make("day", &site()).unwrap().len();
+    }
+    assert!(made >= 16, "{made}");
+}
