A controller that is back at once goes on from its own key

Need: after a crash of all, nobody led for 5.5 to 7 s although the processes were back after 0.2 s: each waited for the lease of a start that was over. After an outage of the state service that lease had its full time again: on the cold start the store was back at 257 s, the claim came at 263 s, and the leases of 825 tasks ended at 260 s.

Change: a node that finds its own name in the leader key, and does not lead, replaces the key under the condition of its version, with a lease of its own. One process runs under a name at a time, so that start answers nobody any more; its writes are fenced by the key's version as before, and old leaves of gateways are bounded by `leave_s`, which the wait for unheard machines now covers by itself. Three such starts in a row that did not outlast a lease, and the others get their chance.

Shown: `who_led_goes_on_after_a_quick_return` (nobody leads for at most two renewals, no work is lost) and `a_leader_that_ends_again_and_again_is_followed_by_another`.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -36,6 +36,33 @@
     Leader(Box<Lead>),
 }
 
+/// Starts of one node that took over from one another within a moment, after which others
+/// get their chance: a process that ends soon after each start would lead for ever.
+const MOST_AGAIN: u32 = 3;
+
+/// This node's earlier start, while the leader key still names it. One process runs under
+/// a node's name at a time, so that start is over: there is no need to wait for its
+/// lease (`docs/returns.md` has the argument).
+#[derive(Debug, Default)]
+pub struct Predecessor {
+    seen: Option<(u64, LeaderRecord)>,
+}
+
+impl Predecessor {
+    /// The leader key as it was seen last, by its version.
+    fn saw(&mut self, own: &str, leader: Option<&(LeaderRecord, u64)>) {
+        self.seen = leader.filter(|(l, _)| l.node == own).map(|(l, token)| (*token, l.clone()));
+    }
+
+    /// The version of the key to be replaced, and the count that the claim tells;
+    /// None: its lease is waited for. `lasting`: who led for longer starts anew.
+    fn succeed(&self, wall: f64, lasting: Time) -> Option<(u64, u32)> {
+        let (token, record) = self.seen.as_ref()?;
+        let again = if wall - record.at > lasting { 0 } else { record.again + 1 };
+        (again <= MOST_AGAIN).then_some((*token, again))
+    }
+}
+
 /// Since when this leader has been entitled to act, by its own clock. While it is not
 /// it may answer reports and stop tasks for its grace, but judges no machine, plans
 /// nothing and asks nothing of the cloud: another may lead. (Replaced leaders that the
@@ -309,8 +336,7 @@
                 self.state(Purpose::LeaderLook, StateOp::Get(LEADER_KEY.to_string()));
             }
         }
-        let vacant = self.known_leader.is_none() && self.leader_watch.revision.is_some();
-        if vacant && !self.claiming && !self.is_leader() && now >= self.claim_at {
+        if self.claimable().is_some() && !self.claiming && !self.is_leader() && now >= self.claim_at {
             self.claiming = true;
             self.claim_at = now;
             let ttl_ms = (self.d.leader_ttl_s * 1000.0) as u64;
@@ -318,6 +344,19 @@
         }
     }
 
+    /// The version that the leader key has to have for a claim of this node, with the
+    /// count of its starts; None: another leads, or nothing is known yet.
+    fn claimable(&self) -> Option<(u64, u32)> {
+        self.leader_watch.revision?;
+        match &self.known_leader {
+            None => Some((0, 0)),
+            Some((node, _)) if *node == self.settings.node => {
+                self.predecessor.succeed(self.wall, self.d.leader_ttl_s)
+            }
+            Some(_) => None,
+        }
+    }
+
     fn look_again(&mut self, pause: f64) {
         self.leader_watch = Follow { busy: false, revision: None, retry_at: self.now + pause };
     }
@@ -327,7 +366,7 @@
         match r {
             StateReply::Item(Item { value: Value::Leader(l), version, .. }) => {
                 self.leader_watch.revision = Some(version);
-                self.saw_leader(Some((l.node, version)));
+                self.saw_leader(Some((l, version)));
             }
             StateReply::Missing(revision) => {
                 self.leader_watch.revision = Some(revision);
@@ -337,7 +376,9 @@
         }
     }
 
-    fn saw_leader(&mut self, leader: Option<(String, u64)>) {
+    fn saw_leader(&mut self, leader: Option<(LeaderRecord, u64)>) {
+        self.predecessor.saw(&self.settings.node, leader.as_ref());
+        let leader = leader.map(|(l, token)| (l.node, token));
         if let Role::Leader(l) = &self.role {
             let ours = matches!(&leader, Some((n, t)) if *t == l.token && *n == self.settings.node);
             let newer = match &leader {
@@ -358,7 +399,7 @@
                 for event in e.events {
                     match event {
                         Event::Put { key, value: Value::Leader(l), version } if key == LEADER_KEY => {
-                            self.saw_leader(Some((l.node, version)));
+                            self.saw_leader(Some((l, version)));
                         }
                         Event::Put { value: Value::Types(t), .. } => self.types = Some(t),
                         Event::Delete { key, version } if key == LEADER_KEY => {
@@ -388,11 +429,14 @@
             self.claim_at = self.now + self.d.renew_s / 2.0;
             return;
         };
+        // Somebody else may have claimed meanwhile: 0 fails then, as it should.
+        let (version, again) = self.claimable().unwrap_or_default();
+        let record = LeaderRecord { node: self.settings.node.clone(), at: self.wall, again };
         let txn = Txn {
-            conditions: vec![Condition { key: LEADER_KEY.to_string(), version: 0 }],
+            conditions: vec![Condition { key: LEADER_KEY.to_string(), version }],
             changes: vec![Change::Put {
                 key: LEADER_KEY.to_string(),
-                value: Value::Leader(LeaderRecord { node: self.settings.node.clone() }),
+                value: Value::Leader(record),
                 lease: Some(lease),
             }],
         };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -232,6 +232,7 @@
     pub(crate) role: Role,
     /// Leader as last read: node name and token.
     pub(crate) known_leader: Option<(String, u64)>,
+    pub(crate) predecessor: leader::Predecessor,
     pub(crate) leader_watch: leader::Follow,
     pub(crate) claiming: bool,
     pub(crate) claim_at: Time,
@@ -293,6 +294,7 @@
             out: Vec::new(),
             role: Role::Follower,
             known_leader: None,
+            predecessor: leader::Predecessor::default(),
             leader_watch: leader::Follow::default(),
             claiming: false,
             claim_at: 0.0,
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -63,6 +63,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub node: String,
+    /// When it claimed, by its time of day in seconds; 0 from nodes that do not tell.
+    #[serde(default)]
+    pub at: f64,
+    /// How often in a row this node took over from an earlier start of its own that had
+    /// not led for long.
+    #[serde(default)]
+    pub again: u32,
 }
 
 /// What is left of a job that is over: all that users are ever told of it.
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -571,9 +571,11 @@
     }
 
     /// Machines that stored placements name, unheard by this leader: their
-    /// leases may have been renewed until the end of the old leader's grace.
+    /// leases may have been renewed until the end of the old leader's grace, or of the
+    /// leave that an earlier start of this node gave just before it ended.
     pub(crate) fn adopt_placed_machines(&mut self) {
-        let old_end = self.now + (self.d.grace_s - self.d.leader_ttl_s).max(0.0) + self.d.worker_timeout_s;
+        let old_answers = (self.d.grace_s - self.d.leader_ttl_s).max(self.d.leave_s);
+        let old_end = self.now + old_answers + self.d.worker_timeout_s;
         let now = self.now;
         let Role::Leader(l) = &mut self.role else { return };
         if !l.loaded {
--- a/crates/testkit/tests/returns.rs
+++ b/crates/testkit/tests/returns.rs
@@ -202,3 +202,49 @@
         assert!(sim.unheard().is_empty(), "seed {seed}: {:?}", sim.unheard());
     }
 }
+
+/// All controllers end and are back at once, some while the state service is down: the
+/// one that led goes on from its own key instead of waiting for a lease that nobody
+/// renews any more, and no work is lost. (Nobody led for a whole lease each time.)
+#[test]
+fn who_led_goes_on_after_a_quick_return() {
+    let d = derived();
+    for seed in 0..12 {
+        let mut sim = full_of(3 + seed as usize % 3, seed, 24);
+        let nodes = sim.workers_by_node().len();
+        let (starts, leader) = (sim.starts, sim.leader());
+        let back = 0.1 + 0.05 * seed as f64;
+        let outage = seed % 3 == 2;
+        if outage {
+            sim.strike(Fault::StateOutage { for_s: 6.0 });
+            assert_eq!(sim.run(103.0), [], "seed {seed}");
+        }
+        for node in 0..nodes {
+            sim.strike(Fault::Crash { node, for_s: back });
+        }
+        sim.leaderless_s = 0.0;
+        // The outage's rest, a look and a claim, each of which may be slow.
+        let most = if outage { 3.0 } else { back } + d.renew_s * 2.0;
+        assert_eq!(sim.run(200.0), [], "seed {seed}");
+        assert!(sim.leaderless_s < most, "seed {seed}: {} s without a leader", sim.leaderless_s);
+        assert_eq!(sim.leader(), leader, "seed {seed}");
+        assert_eq!(sim.starts, starts, "seed {seed}: work was lost");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+    }
+}
+
+/// A controller that ends soon after every start does not keep the others from leading.
+#[test]
+fn a_leader_that_ends_again_and_again_is_followed_by_another() {
+    for seed in 0..6 {
+        let mut sim = full_of(3, seed, 24);
+        let Some(first) = sim.leader() else { panic!("seed {seed}: nobody leads") };
+        for n in 0..24 {
+            sim.strike(Fault::Crash { node: first, for_s: 0.2 });
+            assert_eq!(sim.run(101.0 + n as f64), [], "seed {seed}");
+        }
+        assert_ne!(sim.leader(), Some(first), "seed {seed}");
+        assert_eq!(sim.run(200.0), [], "seed {seed}");
+        assert!(sim.given_up_alive.is_empty(), "seed {seed}: {:?}", sim.given_up_alive);
+    }
+}
