A gang task that gave up waiting has ended only for a leader whose token says so

Cause, by reading: an earlier leader may have answered the report that shows the exit with another launch, at a gateway that then passes the report on to the next leader. That one would release the place when it cannot let the gang gather, while the task runs.

Change: such an exit counts in a report with the leader's own token alone.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -182,8 +182,9 @@
             match mine {
                 Some(p) => {
                     if t.state == TaskState::Exited {
-                        // Its end, or its next start, may be on its way.
-                        if t.cause == Some(ExitCause::Alone) && !beat {
+                        // It may have been started again since, by an answer of an earlier
+                        // leader's to this very report, or by one that is on its way.
+                        if t.cause == Some(ExitCause::Alone) && !settled {
                             continue;
                         }
                         exits.push((job_id.to_string(), number, t.clone()));
@@ -362,7 +363,8 @@
             return false;
         }
         if let Some(p) = job.places.get_mut(&task) {
-            // No answer with a launch is under way: the report is newer than any.
+            // No answer with a launch is under way: the report is newer than any, and
+            // made with this leader's token.
             (p.seen, p.inherited) = (None, false);
         }
         true
