--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -137,7 +137,7 @@
     }
 
     fn on_entry(&mut self, source: &Source, entry: Entry) {
-        let (now, close) = (self.now, self.d.heard_s);
+        let (now, close, gap) = (self.now, self.d.heard_s, self.d.report_gap_s);
         let came = now - f64::from(entry.age_ms) / 1000.0;
         let Role::Leader(l) = &mut self.role else { return };
         let (token, held, place) = (l.token, entry.held, (entry.session, entry.seq));
@@ -153,8 +153,7 @@
                     (m.newest, m.answered) = (place, m.answered.max(came));
                     m.reported_at(came);
                     m.stays = false;
-                    let zone = m.zone.clone();
-                    self.heard_by(Some(source), &zone, came);
+                    l.relays.hearing.heard(came, &source.0, &m.zone, gap);
                 }
                 return;
             }
@@ -258,14 +257,9 @@
         2.0 * self.d.renew_s + self.d.relay_timeout_s
     }
 
-    /// Longest usual time between two reports of a worker, and half of one for the way.
-    fn report_gap_s(&self) -> f64 {
-        self.settings.params.workers.report_s * 1.75
-    }
-
     /// A worker's report had come to `via`, or to this node, at `came`.
     pub(crate) fn heard_by(&mut self, via: Option<&Source>, zone: &str, came: Time) {
-        let gap = self.report_gap_s();
+        let gap = self.d.report_gap_s;
         let Role::Leader(l) = &mut self.role else { return };
         let node = via.map_or(&self.settings.node, |(node, _)| node);
         l.relays.hearing.heard(came, node, zone, gap);
@@ -283,22 +277,18 @@
         let nodes: Vec<&str> = peers.chain([own.as_str()]).collect();
         let gap = self.view_gap_s();
         let here = |node: &str| node == own || self.presence.here(now, gap, d.silent_s, node);
-        let report_gap = self.report_gap_s();
-        let longest = report_gap + d.tour_s * (nodes.len() + 1) as f64;
-        let spans = Spans { gap: report_gap, within: d.silent_s, lately: longest };
-        let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+        let longest = d.report_gap_s + d.tour_s * (nodes.len() + 1) as f64;
+        let spans = Spans { gap: d.report_gap_s, within: d.silent_s, lately: longest };
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         for m in l.machines.values().filter(|m| m.life == Life::Up) {
-            match zones.get_mut(&m.zone) {
-                Some(n) => *n += 1,
-                None => drop(zones.insert(m.zone.clone(), 1)),
-            }
+            *zones.entry(&m.zone).or_default() += 1;
         }
-        let patience = |(zone, up): (String, usize)| {
+        let patience = |(zone, up): (&str, usize)| {
             let part = up / nodes.len();
             let reached =
-                |node: &&&str| here(node) && l.relays.hearing.reached(now, node, &zone, part, &spans);
+                |node: &&&str| here(node) && l.relays.hearing.reached(now, node, zone, part, &spans);
             let away = nodes.len() - nodes.iter().filter(reached).count();
-            (zone, d.silent_s.max(spans.gap + d.tour_s * (away + 1) as f64))
+            (zone.to_string(), d.silent_s.max(spans.gap + d.tour_s * (away + 1) as f64))
         };
         zones.into_iter().map(patience).collect()
     }
--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -77,7 +77,7 @@
     if path.as_os_str() == "-" {
         return Ok(Box::new(std::io::stdin().lock()));
     }
-    let file = std::fs::File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let file = named(path, std::fs::File::open(path))?;
     Ok(Box::new(std::io::BufReader::new(file)))
 }
 
@@ -85,7 +85,7 @@
     let mut served = Served::default();
     for path in logs {
         for line in read(path)?.split(b'\n') {
-            let line = line.map_err(|e| format!("{}: {e}", path.display()))?;
+            let line = named(path, line)?;
             served.line(&String::from_utf8_lossy(&line));
         }
     }
@@ -104,8 +104,8 @@
 
 fn least_aims(entries: &[PathBuf], below: f64) -> Result<bool, String> {
     for path in entries {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let mut found = aims(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text = named(path, std::fs::read_to_string(path))?;
+        let mut found = named(path, aims(&text))?;
         found.sort_by(|a, b| a.share.total_cmp(&b.share));
         let mut told: Vec<(String, Option<u64>, String)> = Vec::new();
         for a in found.into_iter().filter(|a| a.share < below) {
@@ -162,7 +162,7 @@
         named(&self.out, std::fs::create_dir_all(&self.out))?;
         let mut runs = Vec::new();
         for path in &self.sites {
-            let site = named(path, std::fs::read_to_string(path).map_err(|e| e.to_string()))?;
+            let site = named(path, std::fs::read_to_string(path))?;
             let site = named(path, Site::parse(&site))?;
             // Examples of messages lie beside a site file.
             let beside = path.with_file_name("wire.json");
--- a/crates/report/src/outcome.rs
+++ b/crates/report/src/outcome.rs
@@ -1,6 +1,6 @@
 //! What came of a day that was played, and tables of such outcomes.
 
-use crate::served::Served;
+use crate::served::{share, Served};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -46,11 +46,10 @@
     path.iter().try_fold(v, |v, key| v.get(key)).and_then(Value::as_f64).unwrap_or(0.0)
 }
 
-fn part(of: f64, all: f64) -> f64 {
-    if all > 0.0 {
-        of / all
-    } else {
-        1.0
+impl Share {
+    /// What counts: done and done in time, whichever is less.
+    pub fn served(&self) -> f64 {
+        self.done.min(self.in_time)
     }
 }
 
@@ -72,7 +71,7 @@
             mark: None,
             rules_broken: number(report, &["rules_broken", "total"]) as u64,
             own_ends: restarts.filter(|r| r["why"] != "fault").count(),
-            unanswered: part(vain, asked.max(1.0)),
+            unanswered: share(vain, asked.max(1.0)),
             shares: shares(report, logged),
             peaks: (most("memory_peak_mb") / allowance.0, most("connections_peak") / allowance.1),
             killed: number(report, &["fleet", "tasks_killed_by_lease"]) as u64,
@@ -88,14 +87,23 @@
 
     /// The class or team that was served least, by what was done and done in time.
     pub fn least(&self) -> Option<&Share> {
-        let by = |s: &Share| s.done.min(s.in_time);
-        self.shares.iter().filter(|s| s.asked > 0).min_by(|a, b| by(a).total_cmp(&by(b)))
+        let asked = self.shares.iter().filter(|s| s.asked > 0);
+        asked.min_by(|a, b| a.served().total_cmp(&b.served()))
+    }
+
+    /// How far that one was served; 1 where nobody asked.
+    pub fn least_served(&self) -> f64 {
+        self.least().map_or(1.0, Share::served)
+    }
+
+    /// The mark as it is printed.
+    pub fn mark_text(&self) -> String {
+        self.mark.map_or_else(|| "-".into(), |m| format!("{m:.2}"))
     }
 
     /// No rule broken, no end of its own, and nobody below half.
     pub fn holds(&self) -> bool {
-        let least = self.least().map_or(1.0, |s| s.done.min(s.in_time));
-        self.rules_broken == 0 && self.own_ends == 0 && least >= LEAST
+        self.rules_broken == 0 && self.own_ends == 0 && self.least_served() >= LEAST
     }
 }
 
@@ -108,11 +116,11 @@
         let asked = number(c, &["jobs"]) - number(c, &["cancelled"]);
         let mine = targets.iter().filter(|t| t["class"] == class.as_str());
         let aims = mine.filter(|t| t["kind"] == "deadline" || t["kind"] == "finished");
-        let done = part(number(c, &["done"]), asked);
+        let done = share(number(c, &["done"]), asked);
         shares.push(Share {
             name: class.clone(),
             asked: asked as usize,
-            started: part(number(c, &["started"]), number(c, &["jobs"])),
+            started: share(number(c, &["started"]), number(c, &["jobs"])),
             done,
             in_time: aims.map(|t| number(t, &["value"])).fold(done, f64::min),
         });
@@ -122,7 +130,7 @@
         shares.push(Share {
             name: format!("team {}", row.name),
             asked: row.asked,
-            started: part(row.started as f64, asked),
+            started: share(row.started as f64, asked),
             done: row.served(),
             in_time: row.timely(),
         });
@@ -139,7 +147,7 @@
         "site", "variant", "day", "seed", "mark", "rules", "ends", "unansw.", "memory", "sockets", "killed", "lost"
     );
     for o in rows {
-        let mark = o.mark.map_or_else(|| "-".into(), |m| format!("{m:.2}"));
+        let mark = o.mark_text();
         let _ = write!(text, "{:<28}{:<16}{:<18}{:>5}{mark:>6}", o.site, o.variant, o.day, o.seed);
         let _ = write!(text, "{:>6}{:>6}{:>8.3}", o.rules_broken, o.own_ends, o.unanswered);
         let _ = write!(text, "{:>7.2}{:>7.2}{:>7}{:>7}", o.peaks.0, o.peaks.1, o.killed, o.lost);
@@ -162,8 +170,7 @@
         let mut sums: BTreeMap<Key<'_>, (f64, f64, usize)> = BTreeMap::new();
         for o in outcomes {
             let sum = sums.entry((&o.site, &o.variant, &o.day)).or_default();
-            let least = o.least().map_or(1.0, |s| s.done.min(s.in_time));
-            *sum = (sum.0 + o.mark.unwrap_or(0.0), sum.1 + least, sum.2 + 1);
+            *sum = (sum.0 + o.mark.unwrap_or(0.0), sum.1 + o.least_served(), sum.2 + 1);
         }
         sums.into_iter().map(|(k, (m, l, n))| (k, (m / n as f64, l / n as f64, n))).collect()
     }
--- a/crates/report/src/play.rs
+++ b/crates/report/src/play.rs
@@ -95,7 +95,7 @@
                     let what = format!("{} {} {} {}", run.site, run.variant, run.day, run.seed);
                     match played {
                         Ok(o) => {
-                            let mark = o.mark.map_or_else(|| "-".into(), |m| format!("{m:.2}"));
+                            let mark = o.mark_text();
                             let held = if o.holds() { "" } else { ", does not hold" };
                             eprintln!("{n}/{all} {what}: {mark}{held}; about {left:.0} min left");
                             done.0.push(o);
--- a/crates/report/src/served.rs
+++ b/crates/report/src/served.rs
@@ -36,20 +36,21 @@
 impl Row {
     /// The part of what was asked for that was done; 1 where nothing was asked.
     pub fn served(&self) -> f64 {
-        share(self.done, self.asked)
+        share(self.done as f64, self.asked as f64)
     }
 
     /// The part that was done in time.
     pub fn timely(&self) -> f64 {
-        share(self.in_time, self.asked)
+        share(self.in_time as f64, self.asked as f64)
     }
 }
 
-fn share(part: usize, of: usize) -> f64 {
-    if of == 0 {
-        1.0
+/// A part of what was asked for; 1 where nothing was.
+pub(crate) fn share(part: f64, of: f64) -> f64 {
+    if of > 0.0 {
+        part / of
     } else {
-        part as f64 / of as f64
+        1.0
     }
 }
 
--- a/crates/report/src/site.rs
+++ b/crates/report/src/site.rs
@@ -140,8 +140,9 @@
                 t.insert(key.into(), Value::Integer((x * v.size).round() as i64));
             }
         };
+        // `spot` is an amount in one of them and a mark in the other, which stays.
         for key in ["capacity", "machines"] {
-            site.each(key, |t| ["count", "spot"].iter().for_each(|k| count_if_number(t, k, &count)));
+            site.each(key, |t| ["count", "spot"].iter().for_each(|k| count(t, k)));
         }
         site.each("teams", |t| {
             ["gpus", "gpus_max", "cpus", "cpus_max"].iter().for_each(|k| scale(t, k, true))
@@ -171,10 +172,3 @@
         site
     }
 }
-
-/// `spot` is an amount in one table and a mark in another.
-fn count_if_number(t: &mut Table, key: &str, count: &impl Fn(&mut Table, &str)) {
-    if t.get(key).is_some_and(|v| v.as_bool().is_none()) {
-        count(t, key);
-    }
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -302,6 +302,8 @@
     /// A worker heard within this time can reach the node: two reports at
     /// their longest spacing, and half of one for the way.
     pub heard_s: f64,
+    /// Longest usual time between two reports of a worker, and half of one for the way.
+    pub report_gap_s: f64,
     /// Planner's own tick (the design's starting value).
     pub tick_s: f64,
     /// Timeout of a call to the state service.
@@ -341,6 +343,7 @@
             dark_hold_s: w.lease_s * 3.0,
             starving_s: w.lease_s * 3.0,
             heard_s: w.report_s * 3.0,
+            report_gap_s: w.report_s * 1.75,
             tick_s: w.report_s / 3.0,
             state_timeout_s: 1.5,
             cloud_timeout_s: 5.0,
