Workers' leases are renewed only as far as knowledge reaches, not only the claim

Cause: a leader answered reports for its grace after its last confirmed renewal. A renewal proves that nobody else leads, not that this node has read what others wrote: a successor answered reports before it had read a record, and right after an outage a renewal may succeed while the watch still waits. Looked through and ruled out: the gateways' leave and held reports, which count from the sending.

Change: Authority (core/authority.rs) owns both dates, the last confirmed renewal's sending and that of the last read whose changes are all carried out, and is the only place asked whether leases are renewed and acts allowed. Reports that come before the records are read are held (core/early.rs) and not answered; a leader gives no leave until then. The watch waits a renewal instead of half a lease, so the second date stays close. Events that waited for a write which the service refused were forgotten until the next write; they are taken at once.

The test of a chain's stages hung on one seed's slow messages; it asks the same share of six seeds now.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -259,12 +259,19 @@
                 debug!(?f.failed, "records changed meanwhile");
                 self.reread(token, f.failed);
             }
-            StateReply::Refused | StateReply::Gone => l.writes.retry_at = now + retry,
+            StateReply::Refused | StateReply::Gone => {
+                l.writes.retry_at = now + retry;
+                self.replay_deferred();
+            }
             StateReply::Limited => {
                 l.writes.retry_at = now + retry;
                 self.too_many_changes();
+                self.replay_deferred();
+            }
+            StateReply::Invalid => {
+                self.refused_parts(token, c.parts);
+                self.replay_deferred();
             }
-            StateReply::Invalid => self.refused_parts(token, c.parts),
             _ => {
                 // It may have been applied, or may be later. The stored
                 // versions tell; a late application fails on them.
--- /dev/null
+++ b/crates/core/src/early.rs
@@ -0,0 +1,53 @@
+//! Reports that come before a new leader has read the records. It cannot answer them yet: an
+//! answer renews a lease, and what was cancelled it does not know.
+
+use crate::io::{RequestId, Time};
+use std::collections::BTreeMap;
+use wire::worker::Report;
+
+struct Waiting {
+    request: RequestId,
+    report: Report,
+    until: Time,
+}
+
+/// The newest such report of each machine.
+#[derive(Default)]
+pub struct Early {
+    waiting: BTreeMap<String, Waiting>,
+    /// No report's time is over before.
+    first_end: Time,
+}
+
+impl Early {
+    /// Keeps a report until `until`; returns the request of an older one that waited.
+    pub fn hold(&mut self, request: RequestId, report: &Report, until: Time) -> Option<RequestId> {
+        if self.waiting.is_empty() || until < self.first_end {
+            self.first_end = until;
+        }
+        let waiting = Waiting { request, report: report.clone(), until };
+        Some(self.waiting.insert(report.machine.clone(), waiting)?.request)
+    }
+
+    /// Requests whose workers will not wait any longer.
+    pub fn late(&mut self, now: Time) -> Vec<RequestId> {
+        if self.waiting.is_empty() || now < self.first_end {
+            return Vec::new();
+        }
+        let mut late = Vec::new();
+        self.waiting.retain(|_, w| {
+            let keep = now < w.until;
+            if !keep {
+                late.push(w.request);
+            }
+            keep
+        });
+        self.first_end = self.waiting.values().map(|w| w.until).fold(Time::MAX, Time::min);
+        late
+    }
+
+    /// All that wait.
+    pub fn take(&mut self) -> Vec<(RequestId, Report)> {
+        std::mem::take(&mut self.waiting).into_values().map(|w| (w.request, w.report)).collect()
+    }
+}
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,6 +2,7 @@
 //! created the key is the token of that leadership.
 
 use crate::archive::{over_record, Finished};
+use crate::authority::Authority;
 use crate::fleet::Fleet;
 use crate::job::Job;
 use crate::machine::{Life, Machine};
@@ -104,8 +105,7 @@
     pub token: u64,
     pub lease: u64,
     pub since: Time,
-    /// When the last renewal that was confirmed had been sent.
-    pub confirmed: Time,
+    pub authority: Authority,
     pub standing: Standing,
     pub renewing: Option<CallId>,
     pub next_renew: Time,
@@ -125,6 +125,8 @@
     pub pipelines: crate::pipelines::Pipelines,
     /// Reports that wait for their answer, by machine.
     pub held: BTreeMap<String, Held>,
+    /// Reports that came before the records were read.
+    pub early: crate::early::Early,
     /// Machines whose held report may have become ready.
     pub recheck: BTreeSet<String>,
     pub held_scan: Time,
@@ -171,12 +173,12 @@
 }
 
 impl Lead {
-    fn new(token: u64, lease: u64, now: Time, confirmed: Time) -> Self {
+    fn new(token: u64, lease: u64, now: Time, authority: Authority) -> Self {
         Lead {
             token,
             lease,
             since: now,
-            confirmed,
+            authority,
             standing: Standing::default(),
             renewing: None,
             next_renew: now,
@@ -193,6 +195,7 @@
             writes: crate::commit::Writes::new(now),
             pipelines: crate::pipelines::Pipelines::default(),
             held: BTreeMap::new(),
+            early: crate::early::Early::default(),
             recheck: BTreeSet::new(),
             held_scan: now,
             on: HashMap::new(),
@@ -460,7 +463,8 @@
                 self.known_leader = Some((self.settings.node.clone(), token));
                 // `claim_at` is when the lease was asked for: its time cannot
                 // have begun earlier.
-                self.role = Role::Leader(Box::new(Lead::new(token, lease, self.now, self.claim_at)));
+                let authority = Authority::new(&self.d, self.claim_at);
+                self.role = Role::Leader(Box::new(Lead::new(token, lease, self.now, authority)));
                 self.take_over_reports();
             }
             _ => {
@@ -490,6 +494,9 @@
             for request in l.relays.waiting() {
                 self.out.push(Output::RelayReply(request, RelayReply::default()));
             }
+            for (request, _) in l.early.take() {
+                self.refuse(request, 503, "no longer leading");
+            }
             for h in l.held.into_values() {
                 if let Way::Direct(request) = h.way {
                     self.refuse(request, 503, "no longer leading");
@@ -511,18 +518,22 @@
         l.renewing = None;
         match r {
             StateReply::Done => {
-                l.confirmed = l.confirmed.max(sent);
+                l.authority.renewed(sent);
                 l.next_renew = sent + renew_s;
+                if !l.authority.acts(now) {
+                    // It is served again: what it missed is read at once.
+                    l.watch.retry_at = l.watch.retry_at.min(now);
+                }
             }
             StateReply::Gone => self.step_down("lease ended"),
             _ => l.next_renew = now + renew_s / 4.0,
         }
     }
 
-    /// Whether the lease may still be trusted for commands.
+    /// Whether the lease may still be trusted for commands, and what is known for new enough.
     pub(crate) fn entitled(&self) -> bool {
         match &self.role {
-            Role::Leader(l) => l.loaded && self.now < l.confirmed + self.d.leader_ttl_s * 0.99,
+            Role::Leader(l) => l.authority.acts(self.now),
             Role::Follower => false,
         }
     }
@@ -539,14 +550,16 @@
             }
         }
         self.load_on_time(token);
+        self.send_early_on();
         let Some(l) = self.lead(token) else { return };
         if l.loaded {
             if !l.watch.busy && now >= l.watch.retry_at {
                 l.watch.busy = true;
                 let after = l.watch.revision.unwrap_or(0);
-                let wait_ms = (self.d.leader_ttl_s * 500.0) as u64;
+                // As often as the lease is renewed: what is known counts from a watch's sending.
+                let wait_ms = (self.d.renew_s * 1000.0) as u64;
                 self.state(
-                    Purpose::JobWatch { token },
+                    Purpose::JobWatch { token, sent: now },
                     StateOp::Watch { prefix: JOBS_WATCHED.to_string(), after, wait_ms },
                 );
             }
@@ -649,10 +662,10 @@
         }
         l.loading = true;
         let op = StateOp::List { prefix: l.load_prefix.to_string(), after: l.load_after.clone() };
-        self.state(Purpose::Load { token }, op);
+        self.state(Purpose::Load { token, sent: now }, op);
     }
 
-    pub(crate) fn on_load(&mut self, token: u64, r: StateReply) {
+    pub(crate) fn on_load(&mut self, token: u64, sent: Time, r: StateReply) {
         let (now, wall) = (self.now, self.wall);
         let renew_s = self.d.renew_s;
         let limits = self.limits.clone();
@@ -668,7 +681,10 @@
         };
         // The watch starts from the first page's revision: whatever changed
         // after it is seen again.
-        l.load_revision.get_or_insert(page.revision);
+        if l.load_revision.is_none() {
+            l.load_revision = Some(page.revision);
+            l.authority.has_read(sent);
+        }
         for item in page.items {
             l.load_after = Some(item.key.clone());
             match item.value {
@@ -745,6 +761,7 @@
                 l.load_prefix = PAGE_PREFIX;
             } else {
                 l.loaded = true;
+                l.authority.carried_out();
                 l.claim_strays();
                 let abandoned = std::mem::take(&mut l.parts).abandoned(wall - abandon_s);
                 l.archive.discard(abandoned);
@@ -769,9 +786,12 @@
             self.note_arrival(&spec, at);
         }
         self.adopt_placed_machines();
+        if self.lead(token).is_some_and(|l| l.loaded) {
+            self.take_early();
+        }
     }
 
-    pub(crate) fn on_job_watch(&mut self, token: u64, r: StateReply) {
+    pub(crate) fn on_job_watch(&mut self, token: u64, sent: Time, r: StateReply) {
         let now = self.now;
         let retry = self.d.renew_s / 4.0;
         let Some(l) = self.lead(token) else { return };
@@ -787,6 +807,10 @@
                         self.saw_record(&key, value, version);
                     }
                 }
+                if let Some(l) = self.lead(token) {
+                    l.authority.has_read(sent);
+                }
+                self.note_carried_out();
             }
             // Too old: everything is read again by leading anew.
             StateReply::Gone => self.step_down("watch fell behind"),
@@ -882,6 +906,15 @@
         for (key, value, version) in std::mem::take(&mut l.deferred) {
             self.saw_record(&key, value, version);
         }
+        self.note_carried_out();
+    }
+
+    /// What the watch showed is carried out, unless some of it waits for a write's outcome.
+    fn note_carried_out(&mut self) {
+        let Role::Leader(l) = &mut self.role else { return };
+        if l.loaded && l.deferred.is_empty() {
+            l.authority.carried_out();
+        }
     }
 
     /// A cancellation went through at this node: the leader need not wait for
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,8 +2,10 @@
 //! answer out. It has no clock and does no I/O; randomness is seeded in.
 
 mod archive;
+mod authority;
 mod commit;
 mod deaf;
+mod early;
 mod fleet;
 mod floors;
 pub mod io;
@@ -101,9 +103,11 @@
     Revoke,
     Load {
         token: u64,
+        sent: Time,
     },
     JobWatch {
         token: u64,
+        sent: Time,
     },
     Commit {
         token: u64,
@@ -224,7 +228,8 @@
     pub write_ahead: bool,
     /// Absence proves something only in a report that has this leader's token.
     pub settled_only: bool,
-    /// Stop answering reports when the grace is over.
+    /// Stop answering reports when the grace is over, counted from what is confirmed and from
+    /// what is known.
     pub grace: bool,
     /// Wait for the lease of a silent machine before its work is placed anew.
     pub lease_wait: bool,
@@ -438,7 +443,7 @@
     pub fn view_for_peers(&self) -> wire::peer::View {
         let since = self.now - self.d.heard_s;
         let serves = match &self.role {
-            Role::Leader(l) => self.now < l.confirmed + self.d.grace_s,
+            Role::Leader(l) => l.authority.renews(self.now),
             Role::Follower => self.gateway.serves(self.now),
         };
         wire::peer::View {
@@ -620,8 +625,8 @@
             Purpose::Claim { lease } => self.on_claim(lease, r),
             Purpose::Renew { token, sent } => self.on_renew(token, sent, r),
             Purpose::Revoke | Purpose::TypesWrite => {}
-            Purpose::Load { token } => self.on_load(token, r),
-            Purpose::JobWatch { token } => self.on_job_watch(token, r),
+            Purpose::Load { token, sent } => self.on_load(token, sent, r),
+            Purpose::JobWatch { token, sent } => self.on_job_watch(token, sent, r),
             Purpose::Commit { token, serial } => self.on_commit(token, serial, r),
             Purpose::Move { token } => self.on_move(token, r),
             Purpose::FormatLook { token } => self.on_format_look(token, r),
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -241,11 +241,11 @@
 
     /// Replies that are due to the gateways.
     pub(crate) fn relays_on_time(&mut self) {
-        let (now, grace) = (self.now, self.d.grace_s);
+        let now = self.now;
         let (leave_s, hold) = (self.d.leave_s, self.d.relay_s);
         let Role::Leader(l) = &mut self.role else { return };
         // Their answers end with this leader's own, at the latest.
-        let own = if self.guards.grace { l.confirmed + grace - now } else { leave_s };
+        let own = if self.guards.grace { l.authority.renews_until() - now } else { leave_s };
         let token = l.token;
         for due in l.relays.due(now, token, leave_s.min(own), hold) {
             self.out.push(Output::RelayReply(due.request, due.reply));
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -54,18 +54,24 @@
     /// A report that came straight to the leader.
     pub(crate) fn on_own_report(&mut self, req: RequestId, report: &Report) {
         let now = self.now;
-        let grace = self.d.grace_s;
         let Role::Leader(l) = &mut self.role else { return };
-        // Past the grace a cancellation may have been told that this node
-        // cannot see: the workers' leases have to run out in time for it.
-        if now > l.confirmed + grace && self.guards.grace {
-            return self.refuse(req, 503, "state service not reached");
-        }
         let token = l.token;
         if report.token > token {
             self.heard_of(report.token, &report.machine);
             return self.refuse(req, 503, "a newer leader exists");
         }
+        if !l.loaded && self.guards.grace {
+            let older = l.early.hold(req, report, now + self.d.early_s);
+            if let Some(older) = older {
+                self.refuse(older, 503, "a newer report came");
+            }
+            return;
+        }
+        // Past the grace a cancellation may have been told that this node
+        // cannot see: the workers' leases have to run out in time for it.
+        if !l.authority.renews(now) && self.guards.grace {
+            return self.refuse(req, 503, "state service not reached");
+        }
         let known = l.machines.get(&report.machine).is_some_and(|m| m.stays);
         match self.find_room(known) {
             Room::Here => {}
@@ -88,6 +94,22 @@
         self.hold_report(report, Way::Direct(req));
     }
 
+    /// The records are read: what came before is answered.
+    pub(crate) fn take_early(&mut self) {
+        let Role::Leader(l) = &mut self.role else { return };
+        for (request, report) in l.early.take() {
+            self.on_own_report(request, &report);
+        }
+    }
+
+    /// Reports whose workers wait no longer for the records to be read.
+    pub(crate) fn send_early_on(&mut self) {
+        let Role::Leader(l) = &mut self.role else { return };
+        for request in l.early.late(self.now) {
+            self.refuse(request, 503, "records are being read");
+        }
+    }
+
     /// Takes in a report that came here or to another node at `came`; false if it
     /// is not newer than the last, or speaks of a machine that is gone.
     pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>, came: Time) -> bool {
@@ -633,7 +655,7 @@
         let Role::Leader(l) = &self.role else { return };
         let known = l.machines.values().filter(|m| m.life == Life::Up).count();
         let settled = now - l.since > heard_s + self.d.worker_timeout_s;
-        if known == 0 || !settled || now > l.confirmed + self.d.leader_ttl_s {
+        if known == 0 || !settled || !l.authority.leads(now) {
             return;
         }
         let here = l.machines.values().filter(|m| m.reported.is_some_and(|t| now - t < heard_s)).count();
--- a/crates/membership/src/gateway.rs
+++ b/crates/membership/src/gateway.rs
@@ -294,9 +294,16 @@
         }
     }
 
-    /// Whether leave may come soon: there is no leader, or it is new.
+    /// Whether leave may come soon: there is no leader, or it is new, or reads its records yet.
     fn leave_may_come(&self, now: Time) -> bool {
-        self.leader.is_none() || now - self.leader_since < self.d.worker_timeout_s / 2.0
+        let new = now - self.leader_since < self.d.worker_timeout_s / 2.0;
+        self.leader.is_none() || new || self.leader_reads()
+    }
+
+    /// Whether the leader has answered, but takes no reports in yet.
+    fn leader_reads(&self) -> bool {
+        let token = self.leader.as_ref().map(|(_, token)| *token);
+        self.leave.as_ref().is_some_and(|l| !l.ready && Some(l.token) == token)
     }
 
     fn hold_without_leave(&mut self, now: Time, request: RequestId, machine: &str) {
@@ -313,7 +320,7 @@
 
     /// No report waits longer, or its worker would give it up.
     fn longest(&self) -> Time {
-        self.d.worker_timeout_s * 0.85
+        self.d.early_s
     }
 
     pub fn on_time(&mut self, now: Time) {
@@ -343,6 +350,10 @@
                 (None, _) if self.leave_may_come(now) && h.end < millis(last) => {
                     self.hold(machine, h.request, h.came, last);
                 }
+                // All of them at the leader would not help it.
+                (None, _) if self.leader_reads() => {
+                    self.out.push(Act::Refuse(h.request, "the leader reads its records"));
+                }
                 (None, _) => self.out.push(Act::Elsewhere(h.request, self.leader_name())),
             }
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -293,10 +293,10 @@
     pub leader_ttl_s: f64,
     /// Renewals go out four times per lease, so that three may be lost.
     pub renew_s: f64,
-    /// How long after sending its last confirmed renewal a leader goes on
-    /// answering reports: three quarters of what `cancel_s` leaves beyond the
-    /// workers' lease, so a cut leader's tasks end in time for a cancellation
-    /// that it cannot see.
+    /// How long a leader goes on answering reports after sending its last confirmed
+    /// renewal, and after sending the last read that showed all that is stored: three
+    /// quarters of what `cancel_s` leaves beyond the workers' lease, so a cut leader's
+    /// tasks end in time for a cancellation that it cannot see.
     pub grace_s: f64,
     /// The workers wait this long for an answer (fixed by the protocol).
     pub worker_timeout_s: f64,
@@ -305,6 +305,9 @@
     /// a quarter, places that had come free missed plans of a large fleet and
     /// stood empty until the next report.)
     pub hold_s: f64,
+    /// A report waits that long for a new leader to read the records: as long as its
+    /// worker does, less the way back.
+    pub early_s: f64,
     /// An idle machine's report waits that long for a launch: well inside the
     /// worker's patience, and no longer than it would wait before its next
     /// report anyway.
@@ -385,6 +388,7 @@
             grace_s: (w.cancel_s - w.lease_s) * 0.75,
             worker_timeout_s: WORKER_TIMEOUT_S,
             hold_s: WORKER_TIMEOUT_S * 0.375,
+            early_s: WORKER_TIMEOUT_S * 0.85,
             idle_hold_s: (w.report_s * 0.9).min(WORKER_TIMEOUT_S * 0.75),
             leave_s,
             relay_s: (w.report_s / 60.0).clamp(0.02, 0.5),
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -561,6 +561,12 @@
         (0..self.nodes.len()).filter(|&n| self.token(n).is_some()).max_by_key(|&n| self.token(n))
     }
 
+    /// Whether the leader has read all records.
+    pub fn has_loaded(&self) -> bool {
+        let core = self.leader().and_then(|n| self.nodes[n].core.as_ref());
+        core.is_some_and(Core::has_loaded)
+    }
+
     /// Whether a node leads while another leads with a higher token.
     fn replaced(&self, n: usize) -> bool {
         let newest = (0..self.nodes.len()).filter_map(|m| self.token(m)).max();
--- a/crates/testkit/tests/pipelines.rs
+++ b/crates/testkit/tests/pipelines.rs
@@ -122,10 +122,21 @@
 }
 
 /// The jobs of a chain on machines that stand idle: the next one's placement is stored right
-/// after the end of the one before, and a stage takes no more changes than any job.
+/// after the end of the one before, and a stage takes no more changes than any job. (One seed
+/// decided this once, by whether two of its seven messages were among the slow ones; the same
+/// share is asked of six seeds now.)
 #[test]
 fn a_stage_is_placed_right_after_the_one_before() {
-    let mut s = setup(5, vec![]);
+    let pauses: Vec<f64> = (5..11).flat_map(stage_pauses).collect();
+    // Two ways to the state service and one plan; a slow answer now and then.
+    let prompt = pauses.iter().filter(|p| **p < 0.1).count();
+    assert!(prompt * 7 >= pauses.len() * 6, "{pauses:?}");
+    assert!(pauses.iter().all(|p| *p < 0.7), "{pauses:?}");
+}
+
+/// From the end of each stage of a chain until the next one's placement is stored.
+fn stage_pauses(seed: u64) -> Vec<f64> {
+    let mut s = setup(seed, vec![]);
     unlimited(&mut s);
     let stage = |n: usize| JobSpec {
         id: format!("req-{}", 700 + n),
@@ -150,9 +161,7 @@
         pauses.push(begun.unwrap() - ended);
         assert!(writes <= 7, "{own} was written {writes} times");
     }
-    // Two ways to the state service and one plan; a slow answer now and then.
-    assert!(pauses.iter().filter(|p| **p < 0.1).count() >= 6, "{pauses:?}");
-    assert!(pauses.iter().all(|p| *p < 0.7), "{pauses:?}");
+    pauses
 }
 
 /// Far more jobs come after a cancelled one than a transaction takes: all of them are called
