--- a/crates/report/src/day.rs
+++ b/crates/report/src/day.rs
@@ -44,6 +44,8 @@
     each_team: bool,
     #[serde(default = "one")]
     team_factor: f64,
+    /// Part of every class's jobs that their users cancel; None: as the site has it.
+    cancelled: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -66,13 +68,17 @@
     /// All days that it stands for on `site`. Two sites of which one has twice the
     /// machines, zones or time get the same day.
     pub fn make(&self, name: &str, site: &Site) -> Result<Vec<Made>, DayError> {
+        if let Some(part) = self.cancelled.filter(|c| !(0.0..=1.0).contains(c)) {
+            let known = "say a part from 0.0 to 1.0";
+            return Err(DayError::Unknown { key: "cancelled", value: part.to_string(), known });
+        }
         let plain = With { name: String::new(), trouble: Vec::new() };
         let mut made = Vec::new();
         for with in std::iter::once(&plain).chain(&self.with) {
             let name = if with.name.is_empty() { name.to_string() } else { format!("{name}-{}", with.name) };
             let troubles: Vec<&Table> = self.trouble.iter().chain(&with.trouble).collect();
             let mut add = |suffix: String, site: Site, class: Option<&str>| -> Result<(), DayError> {
-                let text = written(&format!("{name}{suffix}"), &troubles, &site, class)?;
+                let text = written(&format!("{name}{suffix}"), &troubles, &site, class, self.cancelled)?;
                 made.push(Made { name: format!("{name}{suffix}"), site, text });
                 Ok(())
             };
@@ -94,7 +100,13 @@
 }
 
 /// The bench's own file of a day.
-fn written(name: &str, troubles: &[&Table], site: &Site, class: Option<&str>) -> Result<String, DayError> {
+fn written(
+    name: &str,
+    troubles: &[&Table],
+    site: &Site,
+    class: Option<&str>,
+    cancelled: Option<f64>,
+) -> Result<String, DayError> {
     let mut faults = Vec::new();
     for t in troubles {
         faults.extend(faults_of(t, site, class)?.into_iter().map(Value::Table));
@@ -105,6 +117,13 @@
     day.insert("light".into(), false.into());
     day.insert("seed".into(), Value::Integer(1));
     day.insert("faults".into(), Value::Array(faults));
+    if let Some(part) = cancelled {
+        let of = |class: &String| {
+            let name = ("name".to_string(), Value::from(class.as_str()));
+            Value::Table([name, ("cancelled".to_string(), part.into())].into_iter().collect())
+        };
+        day.insert("jobs".into(), Value::Array(site.classes().iter().map(of).collect()));
+    }
     Ok(day.to_string())
 }
 
--- a/crates/report/tests/days.rs
+++ b/crates/report/tests/days.rs
@@ -53,6 +53,21 @@
     day["faults"].as_array().unwrap().iter().map(|f| f.as_table().unwrap().clone()).collect()
 }
 
+/// A part of every class's jobs is cancelled; what is no part is refused in one line.
+#[test]
+fn a_day_may_have_jobs_cancelled() {
+    let made = |part: &str| {
+        let text = format!("about = \"a test\"\ncancelled = {part}\n");
+        DayFile::parse(&text).unwrap().make("gap", &site()).map_err(|e| e.to_string())
+    };
+    let day: toml::Table = made("0.8").unwrap()[0].text.parse().unwrap();
+    let jobs: Vec<_> = day["jobs"].as_array().unwrap().iter().map(|j| j.as_table().unwrap()).collect();
+    let names: Vec<_> = jobs.iter().map(|j| j["name"].as_str().unwrap()).collect();
+    assert_eq!(names, ["survey", "alarm"]);
+    assert!(jobs.iter().all(|j| j["cancelled"].as_float() == Some(0.8)));
+    assert_eq!(made("1.5").unwrap_err(), "cancelled: 1.5 is not known, say a part from 0.0 to 1.0");
+}
+
 /// Names, counts and times come from the site, and every day that a file stands for is made.
 #[test]
 fn a_day_takes_its_names_and_amounts_from_the_site() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -232,6 +232,7 @@
         if p.workers.lease_s <= p.workers.report_s {
             return bad("params.workers.lease_s", "must exceed report_s");
         }
+        self.check_room()?;
         if p.state.txn_ops < 2 {
             return bad("params.state.txn_ops", "must be at least 2");
         }
@@ -269,6 +270,24 @@
         Ok(())
     }
 
+    /// Whether a cut leader's workers can lose their leases in time for a cancellation, and are
+    /// answered in between (`docs/safety.md`).
+    fn check_room(&self) -> Result<(), SettingsError> {
+        let (w, d) = (&self.params.workers, Derived::from(self));
+        let clocks = w.cancel_s - (d.grace_s + w.lease_s) * DRIFT - EXPIRY_S;
+        let dates = d.grace_s - 2.0 * d.renew_s - d.state_timeout_s;
+        if clocks >= 0.0 && dates >= 0.0 {
+            return Ok(());
+        }
+        let least = (2.0 * d.renew_s + d.state_timeout_s) / GRACE;
+        let least = least.max(((w.lease_s * (DRIFT - 1.0) + EXPIRY_S) / (1.0 - GRACE * DRIFT)).ceil());
+        let has = w.cancel_s - w.lease_s;
+        bad(
+            "params.workers.cancel_s",
+            &format!("leaves {has:.1} s beyond lease_s, at least {least:.1} are needed: raise it, or lower lease_s"),
+        )
+    }
+
     /// The state service's coming limits, where they are named.
     fn check_next(&self) -> Result<(), SettingsError> {
         let Some(next) = &self.params.state.next else { return Ok(()) };
@@ -372,6 +391,12 @@
 /// How long a worker waits for an answer (fixed by the protocol).
 const WORKER_TIMEOUT_S: f64 = 4.0;
 
+/// A lease may end that much late (fixed by the protocol).
+const EXPIRY_S: f64 = 0.1;
+
+/// Part of what `cancel_s` leaves beyond the workers' lease that is the grace.
+const GRACE: f64 = 0.75;
+
 /// How long a submission is repeated (fixed by the protocol).
 const SUBMIT_S: f64 = 60.0;
 
@@ -385,7 +410,7 @@
         Derived {
             leader_ttl_s: (w.lease_s / 5.0).clamp(0.5, 60.0),
             renew_s: (w.lease_s / 20.0).clamp(0.1, 15.0),
-            grace_s: (w.cancel_s - w.lease_s) * 0.75,
+            grace_s: (w.cancel_s - w.lease_s) * GRACE,
             worker_timeout_s: WORKER_TIMEOUT_S,
             hold_s: WORKER_TIMEOUT_S * 0.375,
             early_s: WORKER_TIMEOUT_S * 0.85,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -59,6 +59,20 @@
     assert!(d.grace_s > d.leader_ttl_s);
 }
 
+/// Too little beyond the lease: a leader would answer nobody between two renewals, or too late
+/// for a cancellation. The line has the figures, and what it asks for is enough.
+#[test]
+fn a_cancellation_needs_room_beyond_the_lease() {
+    let with = |cancel_s: f64| {
+        let text = GOOD.replace("cancel_s = 39.0", &format!("cancel_s = {cancel_s:?}"));
+        Settings::parse(&text).map(|_| ()).map_err(|e| e.to_string())
+    };
+    let e = with(21.0).unwrap_err();
+    let least = "at least 4.5 are needed: raise it, or lower lease_s";
+    assert_eq!(e, format!("params.workers.cancel_s: leaves 2.0 s beyond lease_s, {least}"));
+    assert!(with(19.0 + 4.6).is_ok());
+}
+
 #[test]
 fn operators_settings_have_defaults_ranges_and_positions() {
     use anisecroft_settings::Operator;
