A watch that shows much has as long as a list to come

Cause: with a shorter wait the watch's answer had 1.5 s less in all; what was missed may be a large answer on a busy controller, and one that is given up is asked for again in full.

--- a/crates/net/src/services.rs
+++ b/crates/net/src/services.rs
@@ -70,7 +70,8 @@
             Method::Get,
             format!("/follow?starts={}&since={after}&blockMs={wait_ms}", query(prefix)),
             None,
-            timeout + Duration::from_millis(*wait_ms),
+            // What was missed may be much.
+            timeout * 2 + Duration::from_millis(*wait_ms),
         ),
     };
     let Response { status, body } = match client.call(addr, method, &target, body, timeout, true).await {
