--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// The guard of it: who renews leases without having read keeps what is cancelled.
+#[test]
+fn without_the_grace_an_unread_successor_keeps_what_is_cancelled() {
+    let guards = Guards { grace: false, ..Guards::default() };
+    let broken = |seed| unread_takeover(seed, guards).ledger.broken;
+    assert!((0..8).any(|seed| broken(seed).iter().any(|b| b.rule == Rule::RanCancelled)));
+}
+
 /// The operators' meetings, in their page's order.
 const MEETINGS: usize = 8;
 
--- a/crates/testkit/tests/takeover.rs
+++ b/crates/testkit/tests/takeover.rs
@@ -5,6 +5,7 @@
 use engine::*;
 use settings::{NextLimits, Operator, Peer, Settings};
 use wire::job::*;
+use wire::worker::{Report, ReportAnswer, TaskReport, TaskState, Verb};
 
 fn settings() -> Settings {
     let mut s = Settings::parse(include_str!("../../../docs/example.toml")).unwrap();
@@ -59,6 +60,9 @@
     /// The state service is down, or only its watches answer nothing.
     down: bool,
     watches_down: bool,
+    /// Writes of jobs wait for an answer, and those that do.
+    hold_writes: bool,
+    held_writes: Vec<CallId>,
     /// Watches that wait: until when, for which call.
     watches: Vec<(f64, CallId, StateOp)>,
     /// Another controller that hears no workers either, so that this one does not resign.
@@ -79,6 +83,8 @@
             answers,
             down: false,
             watches_down: false,
+            hold_writes: false,
+            held_writes: Vec::new(),
             watches: Vec::new(),
             peer: None,
         }
@@ -111,6 +117,14 @@
                 self.feed(Input::State(call, StateReply::Refused));
                 continue;
             }
+            let job = |c: &wire::state::Change<Value>| match c {
+                wire::state::Change::Put { key, .. } => key.starts_with(JOB_PREFIX),
+                wire::state::Change::Delete { .. } => false,
+            };
+            if matches!(&op, StateOp::Commit(txn) if self.hold_writes && txn.changes.iter().any(job)) {
+                self.held_writes.push(call);
+                continue;
+            }
             let waits = match &op {
                 StateOp::Watch { wait_ms, .. } if *wait_ms > 0 => Some(self.now + *wait_ms as f64 / 1000.0),
                 _ => None,
@@ -282,19 +296,21 @@
     }
 }
 
+/// A job of 300 tasks, 256 of them placed, in one value.
+fn wide(id: &str) -> (String, Value) {
+    let r = record(id, JobStatus::Running);
+    let spec = JobSpec { tasks: 300, ..r.spec.clone() };
+    let place = |task| StoredPlacement { task, attempt: 1, machine: format!("vm-{task:06}") };
+    let page = PageRecord { done: "f".into(), places: (4..260).map(place).collect() };
+    let value = Value::Job(Box::new(JobRecord { spec, per_page: 300, done: 4, page, ..r }));
+    (job_key(id), value)
+}
+
 /// What production left is larger than the service takes by now: it is cancelled all the same, by
 /// a mark beside it; what nobody cancels is divided while nothing presses, and can end. All
 /// of it goes in the end, and nothing was asked that the service had to refuse.
 #[test]
 fn records_too_large_to_be_written_again_are_cancelled_and_divided() {
-    let wide = |id: &str| {
-        let r = record(id, JobStatus::Running);
-        let spec = JobSpec { tasks: 300, ..r.spec.clone() };
-        let place = |task| StoredPlacement { task, attempt: 1, machine: format!("vm-{task:06}") };
-        let page = PageRecord { done: "f".into(), places: (4..260).map(place).collect() };
-        let value = Value::Job(Box::new(JobRecord { spec, per_page: 300, done: 4, page, ..r }));
-        (job_key(id), value)
-    };
     let format = (FORMAT_KEY.to_string(), Value::Format(FORMAT));
     let items = [wide("req-1"), wide("req-2"), format];
     let mut w = World::new(Store::holding(items));
@@ -368,6 +384,62 @@
     assert_eq!(w.core.tasks_done(), ended);
 }
 
+fn report(machine: &str, seq: u64, tasks: Vec<TaskReport>) -> Input {
+    let report = Report {
+        machine: machine.into(),
+        addr: "10.0.0.1:1".into(),
+        machine_type: "big".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 0,
+        notice_s: None,
+        tasks,
+    };
+    Input::Request(seq, Request::Report(wire::encode(&report)))
+}
+
+/// Another node's cancellation is seen while a write of the same job is on its way, which the service
+/// then refuses: the task is stopped all the same. (What was seen meanwhile was taken up only
+/// after the next write that went through.)
+#[test]
+fn a_cancellation_seen_during_a_refused_write_counts() {
+    let format = (FORMAT_KEY.to_string(), Value::Format(FORMAT));
+    let mut w = World::new(Store::holding([wide("req-2"), format]));
+    // It is to be divided as soon as nothing presses.
+    w.hold_writes = true;
+    w.take_over();
+    w.run(2.0);
+    assert!(!w.held_writes.is_empty());
+    let key = job_key("req-2");
+    let Some(StateReply::Item(item)) = w.store.execute(w.now, &StateOp::Get(key.clone())) else { panic!() };
+    let Value::Job(record) = item.value else { panic!() };
+    let value = Value::Job(Box::new(JobRecord { status: JobStatus::Cancelled, ..*record }));
+    let txn = wire::state::Txn {
+        conditions: vec![wire::state::Condition { key: key.clone(), version: item.version }],
+        changes: vec![wire::state::Change::Put { key, value, lease: None }],
+    };
+    assert!(matches!(w.store.execute(w.now, &StateOp::Commit(txn)), Some(StateReply::Committed(_))));
+    w.run(0.2);
+    for call in std::mem::take(&mut w.held_writes) {
+        w.feed(Input::State(call, StateReply::Refused));
+    }
+    w.run(2.0);
+    let running = TaskReport {
+        task: "req-2/4".into(),
+        attempt: 1,
+        state: TaskState::Running,
+        cause: None,
+        saved: None,
+    };
+    w.feed(report("vm-000004", 1, vec![running]));
+    w.run(3.9);
+    let answer: ReportAnswer = wire::decode(&w.answers[&1].body).unwrap();
+    let stops = answer.commands.iter().filter(|c| c.op == Verb::Stop && c.task == "req-2/4");
+    assert_eq!(stops.count(), 1, "{:?}", answer.commands);
+}
+
 /// A lease that is confirmed again after an outage says nothing of what was cancelled before it:
 /// a leader that its watch has told nothing yet answers no report, since that renews a lease
 /// or launches what was placed. (It once did so by the renewal alone.)
@@ -375,23 +447,8 @@
 fn a_lease_confirmed_again_is_no_knowledge() {
     let mut w = World::beside(Store::holding(live()), 0.0);
     w.run(2.0);
-    let report = |seq: u64| {
-        let report = wire::worker::Report {
-            machine: "vm-000001".into(),
-            addr: "10.0.0.1:1".into(),
-            machine_type: "big".into(),
-            zone: "a".into(),
-            spot: false,
-            session: 1,
-            seq,
-            token: 0,
-            notice_s: None,
-            tasks: Vec::new(),
-        };
-        Input::Request(seq, Request::Report(wire::encode(&report)))
-    };
     let status = |w: &mut World, seq: u64| {
-        w.feed(report(seq));
+        w.feed(report("vm-000001", seq, Vec::new()));
         w.run(3.9);
         w.answers.get(&seq).map(|a| a.status)
     };
