One look's patience as before, deferred changes replayed in one place

Found on reading the change again. Cause: the longer time for a watch's answer held for every watch, the polls' look included, which does not wait: a lost look would have held its questions for 3 s instead of 1.5, and users wait for 2. Only watches that wait have it now. Events deferred behind a write were replayed in three of its outcomes; they are now after the match, whatever the outcome was. What is read back keeps them waiting as before; a conflict that names no key no longer does.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -250,7 +250,6 @@
             StateReply::Committed(revision) => {
                 self.limits.served();
                 self.applied(token, c.parts, revision);
-                self.replay_deferred();
             }
             StateReply::Conflict(f) => {
                 if f.failed.iter().any(|k| k == LEADER_KEY) {
@@ -259,19 +258,12 @@
                 debug!(?f.failed, "records changed meanwhile");
                 self.reread(token, f.failed);
             }
-            StateReply::Refused | StateReply::Gone => {
-                l.writes.retry_at = now + retry;
-                self.replay_deferred();
-            }
+            StateReply::Refused | StateReply::Gone => l.writes.retry_at = now + retry,
             StateReply::Limited => {
                 l.writes.retry_at = now + retry;
                 self.too_many_changes();
-                self.replay_deferred();
-            }
-            StateReply::Invalid => {
-                self.refused_parts(token, c.parts);
-                self.replay_deferred();
             }
+            StateReply::Invalid => self.refused_parts(token, c.parts),
             _ => {
                 // It may have been applied, or may be later. The stored
                 // versions tell; a late application fails on them.
@@ -294,6 +286,8 @@
                 self.reread(token, keys);
             }
         }
+        // Whatever became of the write; what is read back keeps its events waiting.
+        self.replay_deferred();
     }
 
     /// A transaction with these parts was applied.
--- a/crates/net/src/services.rs
+++ b/crates/net/src/services.rs
@@ -70,8 +70,8 @@
             Method::Get,
             format!("/follow?starts={}&since={after}&blockMs={wait_ms}", query(prefix)),
             None,
-            // What was missed may be much.
-            timeout * 2 + Duration::from_millis(*wait_ms),
+            // What a watch that waits has missed may be much; users wait for one that does not.
+            if *wait_ms == 0 { timeout } else { timeout * 2 + Duration::from_millis(*wait_ms) },
         ),
     };
     let Response { status, body } = match client.call(addr, method, &target, body, timeout, true).await {
