--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -57,6 +57,8 @@
     pub hung_until: f64,
     /// Its reports leave it, but nothing reaches it until then.
     pub deaf_until: f64,
+    /// It reaches no controller until then, while direct commands reach it.
+    pub mute_until: f64,
     token_changed_at: f64,
 }
 
@@ -83,6 +85,7 @@
             fetched: BTreeSet::new(),
             hung_until: 0.0,
             deaf_until: 0.0,
+            mute_until: 0.0,
             token_changed_at: f64::MIN,
         }
     }
