--- a/crates/report/src/day.rs
+++ b/crates/report/src/day.rs
@@ -46,6 +46,12 @@
     team_factor: f64,
     /// Part of every class's jobs that their users cancel; None: as the site has it.
     cancelled: Option<f64>,
+    /// Teams' guarantees and limits as a multiple of the site's.
+    limits: Option<f64>,
+    /// Seconds in which a machine boots.
+    boot_s: Option<f64>,
+    /// Arrays have one task and come so many a second in all; other classes as before.
+    single_tasks_per_s: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -65,6 +71,24 @@
         Ok(toml::from_str(text)?)
     }
 
+    /// The site as the day has it.
+    fn site(&self, site: &Site) -> Result<Site, DayError> {
+        let mut site = site.clone();
+        let changes: [(&'static str, Option<f64>, fn(&mut Site, f64)); 3] = [
+            ("limits", self.limits, Site::scale_limits),
+            ("boot_s", self.boot_s, Site::boot_within),
+            ("single_tasks_per_s", self.single_tasks_per_s, Site::single_tasks),
+        ];
+        for (key, value, change) in changes {
+            let Some(x) = value else { continue };
+            if !(x > 0.0 && x.is_finite()) {
+                return Err(DayError::Unknown { key, value: x.to_string(), known: "say a number above 0" });
+            }
+            change(&mut site, x);
+        }
+        Ok(site)
+    }
+
     /// All days that it stands for on `site`. Two sites of which one has twice the
     /// machines, zones or time get the same day.
     pub fn make(&self, name: &str, site: &Site) -> Result<Vec<Made>, DayError> {
@@ -72,6 +96,7 @@
             let known = "say a part from 0.0 to 1.0";
             return Err(DayError::Unknown { key: "cancelled", value: part.to_string(), known });
         }
+        let site = &self.site(site)?;
         let plain = With { name: String::new(), trouble: Vec::new() };
         let mut made = Vec::new();
         for with in std::iter::once(&plain).chain(&self.with) {
--- a/crates/report/src/outcome.rs
+++ b/crates/report/src/outcome.rs
@@ -37,6 +37,15 @@
     /// Tasks that were killed by their lease, and tasks lost in all.
     pub killed: u64,
     pub lost: u64,
+    /// Jobs that waited beside room once troubles were over.
+    #[serde(default)]
+    pub neglected: u64,
+    /// What the bench counts besides the rules, by its own names: aim 0 of each.
+    #[serde(default)]
+    pub slips: BTreeMap<String, u64>,
+    /// Keys of the day that the bench did not know.
+    #[serde(default)]
+    pub unread: Vec<String>,
 }
 
 /// Below that a class or team counts as not served.
@@ -76,6 +85,9 @@
             peaks: (most("memory_peak_mb") / allowance.0, most("connections_peak") / allowance.1),
             killed: number(report, &["fleet", "tasks_killed_by_lease"]) as u64,
             lost: number(report, &["fleet", "tasks_lost"]) as u64,
+            neglected: number(report, &["idle", "neglected"]) as u64,
+            slips: slips(report),
+            unread: report["unread"].as_array().into_iter().flatten().map(Value::to_string).collect(),
         }
     }
 
@@ -101,12 +113,20 @@
         self.mark.map_or_else(|| "-".into(), |m| format!("{m:.2}"))
     }
 
-    /// No rule broken, no end of its own, and nobody below half.
+    /// No rule broken, nothing else counted against it, no end of its own, nobody below half and
+    /// nothing left lying; and the bench has played all that the day says.
     pub fn holds(&self) -> bool {
-        self.rules_broken == 0 && self.own_ends == 0 && self.least_served() >= LEAST
+        let counted = self.rules_broken + self.neglected + self.slips.values().sum::<u64>();
+        counted == 0 && self.own_ends == 0 && self.unread.is_empty() && self.least_served() >= LEAST
     }
 }
 
+fn slips(report: &Value) -> BTreeMap<String, u64> {
+    let counts = report["idle"]["slips"].as_object();
+    let counts = counts.into_iter().flatten().map(|(name, n)| (name.clone(), n.as_u64().unwrap_or(1)));
+    counts.filter(|(_, n)| *n > 0).collect()
+}
+
 /// Classes by the report, with the least of their aims at being done, and teams by
 /// the logs.
 fn shares(report: &Value, logged: &Served) -> Vec<Share> {
@@ -125,6 +145,15 @@
             in_time: aims.map(|t| number(t, &["value"])).fold(done, f64::min),
         });
     }
+    // What the bench counts itself: who began in time at all.
+    for (key, what) in [("teams", "began team"), ("largest", "began largest"), ("longest", "began longest")] {
+        for (name, c) in report[key].as_object().into_iter().flatten() {
+            let asked = number(c, &["jobs"]);
+            let started = share(number(c, &["started"]), asked);
+            let name = format!("{what} {name}");
+            shares.push(Share { name, asked: asked as usize, started, done: started, in_time: started });
+        }
+    }
     for row in logged.rows() {
         let asked = row.asked as f64;
         let (what, in_time) = match row.group {
@@ -149,13 +178,15 @@
     let mut rows: Vec<&Outcome> = outcomes.iter().collect();
     rows.sort_by_key(|o| (&o.site, &o.variant, &o.day, o.seed));
     let mut text = format!(
-        "{:<28}{:<16}{:<18}{:>5}{:>6}{:>6}{:>6}{:>8}{:>7}{:>7}{:>7}{:>7}  least served (started, done, in time)\n",
-        "site", "variant", "day", "seed", "mark", "rules", "ends", "unansw.", "memory", "sockets", "killed", "lost"
+        "{:<28}{:<16}{:<18}{:>5}{:>6}{:>6}{:>6}{:>6}{:>6}{:>8}{:>7}{:>7}{:>7}{:>7}  least served (started, done, in time)\n",
+        "site", "variant", "day", "seed", "mark", "rules", "left", "slips", "ends", "unansw.", "memory", "sockets", "killed", "lost"
     );
     for o in rows {
         let mark = o.mark_text();
         let _ = write!(text, "{:<28}{:<16}{:<18}{:>5}{mark:>6}", o.site, o.variant, o.day, o.seed);
-        let _ = write!(text, "{:>6}{:>6}{:>8.3}", o.rules_broken, o.own_ends, o.unanswered);
+        let slips: u64 = o.slips.values().sum();
+        let _ = write!(text, "{:>6}{:>6}{slips:>6}{:>6}", o.rules_broken, o.neglected, o.own_ends);
+        let _ = write!(text, "{:>8.3}", o.unanswered);
         let _ = write!(text, "{:>7.2}{:>7.2}{:>7}{:>7}", o.peaks.0, o.peaks.1, o.killed, o.lost);
         let flag = if o.holds() { ' ' } else { '!' };
         match o.least() {
--- a/crates/report/src/site.rs
+++ b/crates/report/src/site.rs
@@ -160,6 +160,41 @@
         site
     }
 
+    /// Teams' guarantees and limits become `factor` times as large.
+    pub fn scale_limits(&mut self, factor: f64) {
+        self.each("teams", |t| {
+            for key in ["gpus", "gpus_max", "cpus", "cpus_max"] {
+                if let Some(x) = t.get(key).and_then(number) {
+                    t.insert(key.into(), Value::Float((x * factor).round()));
+                }
+            }
+        });
+    }
+
+    /// Machines of all types boot in about `boot_s` seconds.
+    pub fn boot_within(&mut self, boot_s: f64) {
+        self.each("machine_types", |t| {
+            t.insert("boot_s".into(), Value::Float(boot_s));
+        });
+    }
+
+    /// Arrays have one task each, and come `per_s` a second in all.
+    pub fn single_tasks(&mut self, per_s: f64) {
+        let is_array = |t: &Table| t.get("kind").and_then(Value::as_str) == Some("array");
+        let arrays = self.tables("jobs").filter(|t| is_array(t)).count().max(1);
+        self.each("jobs", |t| {
+            if !is_array(t) {
+                return;
+            }
+            let one: Table =
+                ["median", "p95", "max"].map(|k| (k.to_string(), Value::Float(1.0))).into_iter().collect();
+            t.insert("tasks".into(), Value::Table(one));
+            if let Some(arrivals) = t.get_mut("arrivals").and_then(Value::as_table_mut) {
+                arrivals.insert("rate".into(), Value::Float(per_s / arrays as f64));
+            }
+        });
+    }
+
     /// The site with `factor` times the usual part of the jobs for one team.
     pub fn with_more_of(&self, team: &str, factor: f64) -> Site {
         let mut site = self.clone();
--- a/crates/report/tests/days.rs
+++ b/crates/report/tests/days.rs
@@ -27,6 +27,9 @@
 zone = "east"
 spot = false
 count = 10
+[[machine_types]]
+name = "plain"
+boot_s = 40.0
 [[teams]]
 name = "maps"
 weight = 2.0
@@ -35,6 +38,7 @@
 name = "labs"
 [[jobs]]
 name = "survey"
+kind = "array"
 priority = "low"
 initial = 7
 arrivals = { rate = 0.5 }
@@ -137,6 +141,40 @@
     }
 }
 
+/// Limits, boots and the arrays' size are the day's; what is no amount is refused in one line.
+#[test]
+fn a_day_may_change_limits_boots_and_sizes() {
+    let made = |keys: &str| {
+        let text = format!("about = \"a test\"\n{keys}\n");
+        DayFile::parse(&text).unwrap().make("full", &site()).map_err(|e| e.to_string())
+    };
+    let site = made("limits = 0.25\nboot_s = 1.5\nsingle_tasks_per_s = 4.0").unwrap().remove(0).site;
+    let t: toml::Table = site.text().parse().unwrap();
+    assert_eq!(t["teams"][0]["gpus"].as_float(), Some(10.0));
+    assert_eq!(t["machine_types"][0]["boot_s"].as_float(), Some(1.5));
+    let jobs = t["jobs"].as_array().unwrap();
+    assert_eq!(jobs[0]["tasks"]["max"].as_float(), Some(1.0));
+    assert_eq!(jobs[0]["arrivals"]["rate"].as_float(), Some(4.0));
+    assert!(!jobs[1].as_table().unwrap().contains_key("tasks"), "no array");
+    assert_eq!(made("limits = -1.0").unwrap_err(), "limits: -1 is not known, say a number above 0");
+}
+
+/// What the bench counts besides the rules is against a day, too.
+#[test]
+fn a_day_holds_only_if_nothing_else_is_counted() {
+    let outcome = |idle: serde_json::Value, largest: u32, unread: &[&str]| {
+        let report = json!({"rules_broken": {"total": 0}, "idle": idle, "unread": unread,
+                            "largest": {"survey": {"jobs": 10, "started": largest}}});
+        Outcome::new(("tiles", "x1", "full", 7), &report, &Served::default(), (100.0, 1000.0))
+    };
+    let good = json!({"neglected": 0, "slips": {}});
+    assert!(outcome(good.clone(), 5, &[]).holds());
+    assert!(!outcome(good.clone(), 4, &[]).holds(), "the largest");
+    assert!(!outcome(good, 10, &["from_nodes"]).holds(), "a key that the bench does not know");
+    assert!(!outcome(json!({"neglected": 1, "slips": {}}), 10, &[]).holds());
+    assert!(!outcome(json!({"neglected": 0, "slips": {"started": 2}}), 10, &[]).holds());
+}
+
 /// The least of what was done and done in time decides, by class and by team.
 #[test]
 fn a_day_holds_if_nobody_is_below_half() {
