--- a/crates/core/src/floors.rs
+++ b/crates/core/src/floors.rs
@@ -1,7 +1,7 @@
 //! Classes and teams under their floors, for one plan (see `plan::floor`).
 
 use crate::planning::needs;
-use plan::floor::{grants, overdue, under, Claim, Floor};
+use plan::floor::{grants, keeps_until, overdue, under, Claim, Floor};
 use plan::{Amounts, Busy, Job, Shape};
 use std::collections::BTreeMap;
 use wire::job::JobSpec;
@@ -69,6 +69,9 @@
     pub fn apply(&mut self, now: f64, ids: &mut Vec<String>, jobs: &mut Vec<Job>) -> Starving {
         let starving = under(now, &self.floor, &self.held, &self.claims);
         let mut granted = overdue(now, &self.floor, &self.claims);
+        for ((c, &i), _) in self.claims.iter().zip(&self.of).zip(&granted).filter(|(_, n)| **n > 0) {
+            jobs[i].keeps_until = keeps_until(&self.floor, c.submitted);
+        }
         if starving.contains(&true) {
             let groups = grants(&self.floor, &starving, &self.held, &self.claims);
             granted.iter_mut().zip(groups).for_each(|(g, n)| *g = (*g).max(n));
@@ -82,6 +85,7 @@
                 }
                 let first = std::mem::replace(&mut jobs[i].waiting, rest);
                 let part = Job { waiting: first, floor: true, ..jobs[i].clone() };
+                jobs[i].keeps_until = 0.0;
                 jobs.push(part);
                 ids.push(ids[i].clone());
             }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -458,6 +458,7 @@
                 probe,
                 leftover,
                 floor: false,
+                keeps_until: 0.0,
                 spot_only,
                 avoid: if leftover {
                     kept.clone()
--- a/crates/plan/src/floor.rs
+++ b/crates/plan/src/floor.rs
@@ -13,6 +13,15 @@
     pub patience_s: f64,
 }
 
+/// For how long an overdue job may keep its team's room to itself, as a part of the patience. Others of
+/// the team wait for that long at most while there is room for them.
+const KEEPS: f64 = 2.0 / 3.0;
+
+/// Until when a job's team's room may be kept for it, on the clock of `submitted`.
+pub fn keeps_until(floor: &Floor, submitted: f64) -> f64 {
+    submitted + floor.patience_s * (1.0 + KEEPS)
+}
+
 /// Work of a job that waits.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -145,6 +145,9 @@
     pub spot_only: bool,
     /// It is under its floor: it goes before all others (see [`floor`]).
     pub floor: bool,
+    /// Until then, in seconds of the plan's clock, its team's room is kept for it where the limit
+    /// has none for it yet (see [`floor::keeps_until`]).
+    pub keeps_until: f64,
     /// Machines that it failed on.
     pub avoid: Vec<usize>,
 }
@@ -767,6 +770,31 @@
             && t.accelerators_left.is_none_or(|x| need.accelerators <= x + SLACK)
     }
 
+    /// Keeps what is left of its team's limit for a job that the limit has no room for yet, if enough
+    /// of the team's work is expected to end in time. (What came free under a full limit once went to
+    /// the team's small jobs, and its largest gang never began.)
+    fn keep_limit(&mut self, job: &Job) -> bool {
+        let n = if job.shape == Shape::Gang { job.waiting.len() as u32 } else { 1 };
+        if self.p.now >= job.keeps_until || self.team_allows(job, n) {
+            return false;
+        }
+        let ending = self.slots.iter().flat_map(|s| &s.busy);
+        let ending = ending.filter(|b| b.team == job.team && b.end <= job.keeps_until);
+        let mut freed = Amounts::new(0.0, 0.0, 0.0);
+        ending.for_each(|b| freed.give(&b.takes));
+        let need = job.needs.times(f64::from(n));
+        let t = &mut self.teams[job.team];
+        let enough =
+            |left: Option<f64>, freed: f64, need: f64| left.is_none_or(|x| need <= x + freed + SLACK);
+        let in_time = enough(t.cores_left, freed.cores, need.cores)
+            && enough(t.accelerators_left, freed.accelerators, need.accelerators);
+        if in_time {
+            t.cores_left = t.cores_left.map(|x| x - need.cores);
+            t.accelerators_left = t.accelerators_left.map(|x| x - need.accelerators);
+        }
+        in_time
+    }
+
     fn occupy(&mut self, job: &Job, m: usize, at: f64, end: f64) {
         if at <= self.p.now {
             self.slots[m].free.take(&job.needs);
@@ -848,6 +876,9 @@
         if self.barriers.iter().any(|b| b.stops(job)) {
             return None;
         }
+        if self.keep_limit(job) {
+            return None;
+        }
         match job.shape {
             Shape::Gang => self.reserve_gang(i, windows, plan),
             Shape::Array | Shape::Service => self.reserve_tasks(i, windows, plan),
--- a/crates/plan/tests/cura.rs
+++ b/crates/plan/tests/cura.rs
@@ -52,6 +52,7 @@
         probe: false,
         leftover: false,
         floor: false,
+        keeps_until: 0.0,
         spot_only: false,
         avoid: Vec::new(),
     }
@@ -253,6 +254,30 @@
     assert!(larger < usual * 2, "{usual} steps, {larger} with ten times the tasks");
 }
 
+/// A team at its limit whose overdue gang needs room for four: two come free now, two within the time
+/// for which they are kept. Its small jobs wait meanwhile, another team's do not.
+#[test]
+fn room_under_a_limit_is_kept_for_an_overdue_gang() {
+    let gang = |keeps_until: f64| Job { floor: true, keeps_until, ..job(Shape::Gang, 4, 1.0, 50.0, 100.0) };
+    let other = Job { team: 1, ..job(Shape::Array, 1, 1.0, 50.0, 100.0) };
+    let starts = |keeps_until: f64, ends: f64| {
+        let takes = Amounts::new(0.0, 2.0, 0.0);
+        let busy = Busy { end: ends, takes, band: 1, team: 0, covered: false, victim: None };
+        let running = Machine { free: Amounts::new(100.0, 2.0, 100.0), busy: vec![busy], ..machine(0, 0) };
+        let small = job(Shape::Array, 2, 1.0, 50.0, 100.0);
+        let machines = vec![running, machine(0, 0), machine(0, 0)];
+        let limited = Team { cores_left: None, accelerators_left: Some(2.0) };
+        let teams = vec![limited, Team::default()];
+        let p = Problem { teams, ..problem(machines, vec![gang(keeps_until), small, other.clone()]) };
+        let mut jobs: Vec<usize> = plan(&p).starts.iter().map(|s| s.job).collect();
+        jobs.sort_unstable();
+        jobs
+    };
+    assert_eq!(starts(60.0, 40.0), [2], "kept");
+    assert_eq!(starts(0.0, 40.0), [1, 1, 2], "its time is over");
+    assert_eq!(starts(60.0, 80.0), [1, 1, 2], "too little of the team's work ends in time");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
 
