Deletions of stale keys are repeated until they are answered

Cause: parts of submissions that were begun anew are deleted once, without a look at the answer; where that was lost, a part lay there until the next takeover. Change: what a transaction was to delete is stale again unless it was committed.

--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -40,6 +40,8 @@
     pub held: BTreeMap<String, Finished>,
     /// Keys of layouts that count no more.
     stale: Vec<String>,
+    /// Those of them that are being deleted.
+    deleting: Vec<String>,
     /// A transaction on its way, with what it moves.
     moving: Option<Vec<Finished>>,
     retry_at: Time,
@@ -244,9 +246,9 @@
         let leads = Condition { key: LEADER_KEY.to_string(), version: token };
         let mut txn = Txn { conditions: vec![leads], changes: Vec::new() };
         let mut moving = Vec::new();
-        // Deleting twice does no harm, and what is forgotten is found by the next leader.
-        let stale = a.stale.split_off(a.stale.len().saturating_sub(allowed / 2));
-        txn.changes.extend(stale.into_iter().map(|key| Change::Delete { key }));
+        // Deleting twice does no harm.
+        a.deleting = a.stale.split_off(a.stale.len().saturating_sub(allowed / 2));
+        txn.changes.extend(a.deleting.iter().map(|key| Change::Delete { key: key.clone() }));
         while let Some((id, mut f)) = a.waiting.pop_first() {
             let room = allowed - txn.changes.len();
             // A job with more pages than that takes several transactions.
@@ -280,6 +282,11 @@
         let retry = self.d.renew_s / 4.0;
         let Some(l) = self.lead(token) else { return };
         let moving = l.archive.moving.take().unwrap_or_default();
+        let deleting = std::mem::take(&mut l.archive.deleting);
+        // (Parts whose deletion got no answer once lay there until the next takeover.)
+        if !matches!(r, StateReply::Committed(_)) {
+            l.archive.stale.extend(deleting);
+        }
         match r {
             StateReply::Committed(_) => debug!(jobs = moving.len(), "moved what is over"),
             StateReply::Conflict(c) if c.failed.iter().any(|k| k == LEADER_KEY) => {
