Machines for work bound to zones are rented where it may run

Cause: a pool's machines were rented in the zone where fewest of it stood, whatever zone the waiting job was bound to (by name, by what of it runs already, or by spread). Where the job's zone was full and the other had fewer, they came there, stood idle, were given back and rented anew, for ever, and the job never ran. A gang whose last machines were refused lost those that stood ready for it in the same way. Change: what bound work lacks is wanted in its zones and rented nowhere else (core/bound.rs, with what was there for gangs that choose one zone); idle machines of a waiting gang are kept.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -493,15 +493,25 @@
             // a minute, and the largest call first kept gangs waiting for theirs.
             let mut choice: Option<(String, bool, String, u32)> = None;
             let unsure = if now - l.since < d.tour_s { unheard_zones(&l.machines, now, &d) } else { vec![] };
+            let rents_in = |name: &str, zone: &String, spot: bool| {
+                l.fleet.zone_open(now, name, zone, spot) && !unsure.contains(zone)
+            };
             for ((name, spot), n) in &l.fleet.wanted {
                 let Some(t) = types.iter().find(|t| t.name == *name) else { continue };
-                if *n == 0 {
+                // What is wanted in one zone is of no use in another.
+                let shut = l
+                    .fleet
+                    .zoned
+                    .iter()
+                    .filter(|((p, z), _)| p.0 == *name && p.1 == *spot && !rents_in(name, z, *spot));
+                let n = n.saturating_sub(shut.map(|(_, n)| n).sum());
+                if n == 0 {
                     continue;
                 }
                 let mut zones: Vec<(usize, &String)> = t
                     .zones
                     .iter()
-                    .filter(|z| l.fleet.zone_open(now, name, z, *spot) && !unsure.contains(z))
+                    .filter(|z| rents_in(name, z, *spot))
                     .map(|z| {
                         let there = l
                             .machines
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod archive;
 mod authority;
+mod bound;
 mod commit;
 mod deaf;
 mod early;
@@ -248,6 +249,8 @@
     pub lineage: bool,
     /// A machine that hears no answer gets no work.
     pub ears: bool,
+    /// Machines for work bound to zones are rented there.
+    pub bound: bool,
     /// The gateway's own.
     pub gateway: GatewayGuards,
 }
@@ -266,6 +269,7 @@
             awaits: true,
             lineage: true,
             ears: true,
+            bound: true,
             gateway: GatewayGuards::default(),
         }
     }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -1,6 +1,7 @@
 //! Between the leader's knowledge and the planner's: what waits and what
 //! there is goes in; placements, stops and the fleet's targets come out.
 
+use crate::bound::{zones_of, Ask, AtHand, Bound};
 use crate::fleet::Pool;
 use crate::floors::Floors;
 use crate::job::{Job, Place};
@@ -84,34 +85,6 @@
     Amounts::new(t.cores, t.accelerators, t.memory_gb)
 }
 
-/// Machines without work, by type, zone and whether spot.
-#[derive(Default)]
-struct AtHand<'a>(BTreeMap<(&'a str, &'a str, bool), u32>);
-
-impl<'a> AtHand<'a> {
-    fn add(&mut self, kind: &'a str, zone: &'a str, spot: bool, n: u32) {
-        *self.0.entry((kind, zone, spot)).or_insert(0) += n;
-    }
-
-    /// How many a job could have, on spot machines or not. (Spot machines once
-    /// counted for gangs that may not use them, which then waited for ever.)
-    fn count(&self, kind: &str, zone: &str, spot: bool) -> u32 {
-        let of = |s: bool| self.0.get(&(kind, zone, s)).copied().unwrap_or(0);
-        of(false) + if spot { of(true) } else { 0 }
-    }
-
-    /// Takes up to `most` of these, spot machines first.
-    fn take(&mut self, kind: &'a str, zone: &'a str, spot: bool, most: u32) -> u32 {
-        let mut left = most;
-        for s in [true, false].into_iter().filter(|s| spot || !s) {
-            let n = self.0.entry((kind, zone, s)).or_insert(0);
-            let taken = left.min(*n);
-            (*n, left) = (*n - taken, left - taken);
-        }
-        most - left
-    }
-}
-
 /// What a second of such a task costs on a machine that is full of them.
 fn task_price(t: &MachineType, need: &Amounts, spot: bool) -> Option<f64> {
     let side = size_of(t).count(need);
@@ -220,12 +193,7 @@
         if !due || now < l.plan_after || !entitled || !l.fleet.listed_once {
             return;
         }
-        let mut zones: Vec<String> = Vec::new();
-        for z in types.iter().flat_map(|t| &t.zones) {
-            if !zones.contains(z) {
-                zones.push(z.clone());
-            }
-        }
+        let zones = zones_of(&types);
         let Role::Leader(l) = &self.role else { return };
         let ratio = |class: &str| l.classes.get(class).map_or(1.0, ClassStats::ratio);
         // Machines: what their places take, and until when.
@@ -602,12 +570,9 @@
     /// and a reserve for what usually comes.
     fn set_targets(&mut self, p: &Problem, made: &plan::Plan, types: &[wire::cloud::MachineType]) {
         let now = self.now;
-        let (reserve_share, d) = (self.operator.reserve, self.d);
+        let (reserve_share, d, guards) = (self.operator.reserve, self.d, self.guards);
         let Role::Leader(l) = &mut self.role else { return };
-        let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut rooms: BTreeMap<Pool, f64> = BTreeMap::new();
-        let mut zoned: BTreeMap<(Pool, String), u32> = BTreeMap::new();
-        let mut gathering: BTreeMap<(String, String), u32> = BTreeMap::new();
         // Machines without work, booting ones included, by type and zone.
         let placed: HashSet<&str> =
             l.jobs.values().flat_map(|j| j.places.values()).map(|p| p.machine.as_str()).collect();
@@ -619,6 +584,19 @@
             at_hand.add(&m.machine_type, &m.zone, m.spot, 1);
             idle.add(&m.machine_type, &m.zone, m.spot, u32::from(m.heard.is_some()));
         }
+        let zones = zones_of(types);
+        let mut bound = Bound {
+            now,
+            types,
+            zones: &zones,
+            fleet: &l.fleet,
+            at_hand,
+            idle,
+            zoned: BTreeMap::new(),
+            gathering: BTreeMap::new(),
+            need: BTreeMap::new(),
+        };
+        let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         for u in &made.unmet {
             // Work that will be in time where it is planned needs no machine
             // more, unless its guarantee asks for a start now.
@@ -647,34 +625,15 @@
             }
             pools.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut left = f64::from(tasks);
+            let ask = Ask { job, tasks: left, pools: &pools };
+            if guards.bound && bound.want(&ask) {
+                continue;
+            }
             // (What it failed on may stand idle there, and is no machine of its own.)
-            let together = job.one_zone && job.zone.is_none() && job.avoid.is_empty();
-            if let (true, Some((_, pool, n))) = (together, pools.first()) {
-                // Its machines have to come together in one zone: where most
-                // are at hand or can be had. (Rented in all zones alike, those
-                // of a large gang went back idle and were rented anew for ever.)
-                let machines = (left / n).ceil() as u32;
-                let Some(t) = types.iter().find(|t| t.name == pool.0) else { continue };
-                let (kind, zones) = (&t.name, &t.zones);
-                let best = zones.iter().max_by_key(|z| {
-                    let at_hand = at_hand.count(kind, z, job.spot);
-                    let can = job.spot && l.fleet.zone_open(now, kind, z, true)
-                        || l.fleet.zone_open(now, kind, z, false);
-                    // Not from one zone to the other with each machine that comes.
-                    let before = l.fleet.gathering.contains_key(&(kind.clone(), (*z).clone()));
-                    (at_hand >= machines || can, at_hand + if before { 2 } else { 0 }, std::cmp::Reverse(*z))
-                });
-                if let Some(zone) = best {
-                    let taken = at_hand.take(kind, zone, job.spot, machines);
-                    *gathering.entry((kind.clone(), zone.clone())).or_insert(0) += machines;
-                    let spot = job.spot && l.fleet.zone_open(now, kind, zone, true);
-                    let wanted = ((kind.clone(), spot), zone.clone());
-                    *zoned.entry(wanted).or_insert(0) += machines - taken;
-                    // Only what stands idle is had; what boots is counted with all
-                    // that comes, below. (Counted twice, too few were rented.)
-                    let ready = idle.take(kind, zone, job.spot, machines);
-                    left = f64::from(machines - ready) * n;
-                }
+            if job.one_zone && job.zone.is_none() && job.avoid.is_empty() {
+                left = bound.gather(&ask).unwrap_or(left);
+            } else if guards.bound && job.shape == plan::Shape::Gang {
+                bound.keep_idle(&ask);
             }
             // The cheapest first, and what it has not got from the next.
             for (_, pool, n) in pools {
@@ -687,6 +646,10 @@
                 }
             }
         }
+        let Bound { zoned, gathering, need: bound, .. } = bound;
+        for (pool, n) in bound {
+            *need.entry(pool).or_insert(0.0) += n;
+        }
         let mut used: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut booting: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut have: BTreeMap<Pool, u32> = BTreeMap::new();
@@ -738,11 +701,13 @@
                 }
             }
         }
+        let mut in_zones: BTreeMap<&Pool, u32> = BTreeMap::new();
         for ((pool, _), n) in &zoned {
-            if *n > 0 {
-                let w = wanted.entry(pool.clone()).or_insert(0);
-                *w = (*w).max(*n);
-            }
+            *in_zones.entry(pool).or_insert(0) += n;
+        }
+        for (pool, n) in in_zones.into_iter().filter(|(_, n)| *n > 0) {
+            let w = wanted.entry(pool.clone()).or_insert(0);
+            *w = (*w).max(n);
         }
         l.fleet.zoned = zoned;
         l.fleet.gathering = gathering;
