After an outage idle machines are neither taken for deaf nor replaced

Cause: while a leader may answer nobody, reports reach it through other nodes and the workers' leases end, which looked like deafness: after an outage of one lease no machine took work, after three the whole fleet was given back at once. Machines idle during an outage were given back before users came again, and what had not been heard for a moment was rented anew at once. Change: a lease counts against a machine's ears only if reports were answered all along (deaf::Voice); time in which the leader could not act is no idle time; machines silent for less than it takes to give one up, or since the leader acts again for less than one gap of reports, count as coming when machines are wanted (guard asleep).

--- a/crates/core/src/deaf.rs
+++ b/crates/core/src/deaf.rs
@@ -17,23 +17,43 @@
     missed: u32,
 }
 
+/// Since when this leader has answered reports without a break. While it may answer nobody, the
+/// leases of all workers end, and that says nothing of their ears. (After an outage of the state
+/// service that was longer than three leases, it once gave the whole fleet back as deaf.)
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Voice(Option<Time>);
+
+impl Voice {
+    /// Looks whether reports are answered `now`.
+    pub fn look(&mut self, now: Time, answers: bool) {
+        self.0 = if answers { self.0.or(Some(now)) } else { None };
+    }
+
+    /// When it began to answer, if it does.
+    pub fn since(&self, now: Time) -> Time {
+        self.0.unwrap_or(now)
+    }
+}
+
+/// By what it is judged.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Reports at most that far apart come without a pause, tries of other nodes in between.
+    pub gap_s: Time,
+    /// When a lease is over for certain.
+    pub lease_s: Time,
+    /// Since when reports have been answered.
+    pub voice: Time,
+}
+
 /// Leases after which it is given back: as long as machines out of reach are kept.
 const MOST_MISSED: u32 = 3;
 
 impl Ears {
     /// A report came at `came` with a session of that number, the last before it at `last`
-    /// with session `old` (0: none). `gap_s`: reports at most that far apart come without a
-    /// pause, tries of other nodes in between. `lease_s`: when a lease is over for certain.
-    /// True if the machine turns out to hear nothing.
-    pub fn note(
-        &mut self,
-        old: u64,
-        new: u64,
-        last: Option<Time>,
-        came: Time,
-        gap_s: Time,
-        lease_s: Time,
-    ) -> bool {
+    /// with session `old` (0: none). True if the machine turns out to hear nothing.
+    pub fn note(&mut self, old: u64, new: u64, last: Option<Time>, came: Time, pace: &Pace) -> bool {
+        let Pace { gap_s, lease_s, voice } = *pace;
         let before = self.missed;
         if last.is_none_or(|l| came - l > gap_s) {
             self.without_pause = came;
@@ -41,7 +61,7 @@
         if new > old {
             // After a silence it is the way of the reports that was cut; they may have been
             // held, and come all at once with the sessions of minutes.
-            let heard = old > 0 && came - self.without_pause > lease_s;
+            let heard = old > 0 && came - self.without_pause.max(voice) > lease_s;
             self.missed = if heard { self.missed + 1 } else { 0 };
             self.since = came;
         } else if came - self.since > lease_s + gap_s {
@@ -65,11 +85,13 @@
 mod tests {
     use super::*;
 
+    const PACE: Pace = Pace { gap_s: 9.0, lease_s: 19.5, voice: 0.0 };
+
     /// Reports every `gap` seconds, of a session that is one higher every `lease` seconds.
     fn run(ears: &mut Ears, from: Time, to: Time, gap: Time, lease: Option<Time>) {
         let (mut at, mut session) = (from, 1 + from as u64);
         let mut begun = from;
-        ears.note(0, session, None, at, 9.0, 19.5);
+        ears.note(0, session, None, at, &PACE);
         while at + gap < to {
             let last = at;
             at += gap;
@@ -77,7 +99,7 @@
             if lease.is_some_and(|l| at - begun > l) {
                 (session, begun) = (session + 1, at);
             }
-            ears.note(old, session, Some(last), at, 9.0, 19.5);
+            ears.note(old, session, Some(last), at, &PACE);
         }
     }
 
@@ -95,12 +117,21 @@
         assert!(ears.hopeless());
         // Silent for longer than its lease: its reports did not arrive either.
         let mut cut = Ears::default();
-        cut.note(0, 1, None, 0.0, 9.0, 19.5);
-        assert!(!cut.note(1, 2, Some(0.0), 30.0, 9.0, 19.5));
+        cut.note(0, 1, None, 0.0, &PACE);
+        assert!(!cut.note(1, 2, Some(0.0), 30.0, &PACE));
         // Or they were held, and come at once.
         for session in 2..6 {
-            assert!(!cut.note(session, session + 1, Some(30.0), 30.1, 9.0, 19.5));
+            assert!(!cut.note(session, session + 1, Some(30.0), 30.1, &PACE));
         }
         assert!(!cut.deaf());
+        // Or nobody was answered until a moment ago.
+        let mut unanswered = Ears::default();
+        unanswered.note(0, 1, None, 0.0, &PACE);
+        (1..6).for_each(|n| {
+            let at = f64::from(n) * 5.0;
+            unanswered.note(1, 1, Some(at - 5.0), at, &Pace { voice: at, ..PACE });
+        });
+        assert!(!unanswered.note(1, 2, Some(25.0), 30.0, &Pace { voice: 20.0, ..PACE }));
+        assert!(unanswered.clone().note(1, 2, Some(25.0), 30.0, &PACE));
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -346,8 +346,12 @@
         let lease_s = self.settings.params.workers.lease_s;
         let silent_s = self.d.silent_s / 2.0;
         let prompt = self.prompt_classes();
+        let asleep = self.guards.asleep;
         let Role::Leader(l) = &mut self.role else { return };
         let (since, reach) = (l.since, &l.fleet.reach);
+        // Nobody could give it work before. (After an outage whatever stood idle was once given
+        // back in the moment before the users came again.)
+        let acts_since = if asleep { l.standing.acts_since() } else { 0.0 };
         if !entitled {
             return;
         }
@@ -368,9 +372,7 @@
             .collect();
         for m in l.machines.values_mut() {
             let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
-            if used.contains(m.id.as_str()) {
-                m.idle_since = now;
-            }
+            m.idle_since = if used.contains(m.id.as_str()) { now } else { m.idle_since.max(acts_since) };
             match m.life {
                 // After a take-over every worker has its lease's time to report: an
                 // idle machine that had been up for long was once taken for stuck.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// When it was entitled last, and so could give work to machines.
+    pub fn acts_since(&self) -> Time {
+        self.since.unwrap_or(Time::MAX)
+    }
+
     /// How long it has been entitled without a gap.
     pub fn held_s(&self, now: Time) -> Time {
         self.since.map_or(0.0, |since| now - since)
@@ -107,6 +112,7 @@
     pub since: Time,
     pub authority: Authority,
     pub standing: Standing,
+    pub voice: crate::deaf::Voice,
     pub renewing: Option<CallId>,
     pub next_renew: Time,
     pub loaded: bool,
@@ -180,6 +186,7 @@
             since: now,
             authority,
             standing: Standing::default(),
+            voice: crate::deaf::Voice::default(),
             renewing: None,
             next_renew: now,
             loaded: false,
@@ -572,6 +579,8 @@
             let entitled = self.entitled();
             if let Some(l) = self.lead(token) {
                 l.standing.look(now, entitled, token);
+                let answers = l.authority.renews(now);
+                l.voice.look(now, answers);
             }
             let due = entitled && matches!(&self.role, Role::Leader(l) if now - l.swept_at >= sweep_s);
             if due {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -249,6 +249,9 @@
     pub lineage: bool,
     /// A machine that hears no answer gets no work.
     pub ears: bool,
+    /// Machines that are only not heard again yet, or that nobody answered for a while, are
+    /// neither replaced nor given back.
+    pub asleep: bool,
     /// Machines for work bound to zones are rented there.
     pub bound: bool,
     /// The gateway's own.
@@ -269,6 +272,7 @@
             awaits: true,
             lineage: true,
             ears: true,
+            asleep: true,
             bound: true,
             gateway: GatewayGuards::default(),
         }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -650,13 +650,19 @@
         for (pool, n) in bound {
             *need.entry(pool).or_insert(0.0) += n;
         }
+        // A leader that acts again has not heard yet what was there before.
+        let back = l.standing.held_s(now) < d.back_s;
         let mut used: BTreeMap<Pool, f64> = BTreeMap::new();
+        // Machines that will take work without being rented: they boot, or are not heard again yet.
         let mut booting: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut have: BTreeMap<Pool, u32> = BTreeMap::new();
         for m in l.machines.values().filter(there) {
             let pool = (m.machine_type.clone(), m.spot);
             *have.entry(pool.clone()).or_insert(0) += 1;
-            if m.heard.is_none() && !m.quiet(now, &d) && !placed.contains(m.id.as_str()) {
+            let unsure = guards.asleep && m.heard.is_some() && m.quiet(now, &d);
+            let coming =
+                m.heard.is_none() && !m.quiet(now, &d) || unsure && (back || m.silence(now) < d.silent_s);
+            if coming && !placed.contains(m.id.as_str()) {
                 *booting.entry(pool).or_insert(0) += 1;
             } else if placed.contains(m.id.as_str()) {
                 *used.entry(pool).or_insert(0.0) += 1.0;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -1,5 +1,6 @@
 //! Reports of workers: what they prove, and which commands they are answered.
 
+use crate::deaf::Pace;
 use crate::job::{Job, Place};
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
@@ -201,8 +202,9 @@
         }
         let before = m.newest.0;
         // One gap of reports, and a try of another node in between.
-        let gap_s = d.report_gap_s + d.tour_s;
-        let unheard = beat && m.ears.note(before, report.session, m.reported, came, gap_s, d.lease_over_s);
+        let voice = if self.guards.asleep { l.voice.since(now) } else { 0.0 };
+        let pace = Pace { gap_s: d.report_gap_s + d.tour_s, lease_s: d.lease_over_s, voice };
+        let unheard = beat && m.ears.note(before, report.session, m.reported, came, &pace);
         if unheard {
             warn!(machine = %report.machine, "its reports come, but it hears no answer: no work for it");
             l.plan_dirty = true;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -372,6 +372,9 @@
     /// is under its floor: three leases, by when what a cut or a crash held up
     /// has been placed anew.
     pub starving_s: f64,
+    /// A leader that acts again rents nothing yet for what machines would take which were there
+    /// before and have not reported since: one report at the longest spacing, and the way.
+    pub back_s: f64,
     /// What a submission has stored and nothing names is given up for lost after that time:
     /// ten times as long as users repeat one (fixed by the protocol).
     pub abandon_s: f64,
@@ -428,6 +431,7 @@
             gather_s: w.gang_wait_s * 4.0,
             dark_hold_s: w.lease_s * 3.0,
             starving_s: w.lease_s * 3.0,
+            back_s: w.report_s * 1.75,
             abandon_s: SUBMIT_S * 10.0,
             heard_s: w.report_s * 3.0,
             report_gap_s: w.report_s * 1.75,
--- a/crates/testkit/tests/left_lying.rs
+++ b/crates/testkit/tests/left_lying.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use anisecroft_testkit::{Setup, Sim};
+use anisecroft_testkit::{Fault, Setup, Sim};
 use common::*;
 use engine::Guards;
 use wire::job::*;
@@ -30,6 +30,61 @@
     Sim::new(Setup { jobs, capacity, nodes, guards, loss: 0.0, ..s })
 }
 
+/// Fourteen machines stand idle when an outage of the state service ends that was longer than three
+/// leases, and work comes at once. Machines rented since, and those given back.
+fn after_an_outage(seed: u64, guards: Guards) -> (u32, usize) {
+    let first = (2.0, array(1, 12, 4.0, 60.0), None);
+    let later = (2..4).map(|n| (95.0, array(n, 2, 4.0, 60.0), None));
+    let mut sim = day(seed, guards, 60, [first].into_iter().chain(later).collect());
+    sim.run(40.0);
+    let rented = sim.rented();
+    sim.strike(Fault::StateOutage { for_s: 75.0 });
+    sim.run(114.0);
+    assert!(sim.machines() >= 12, "seed {seed}: {} machines", sim.machines());
+    assert_eq!(sim.run(121.0), [], "seed {seed}");
+    let all = sim.rented() - rented;
+    sim.run(300.0);
+    assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}");
+    (all, sim.deleted.iter().filter(|(at, _)| *at < 117.5).count())
+}
+
+/// They take it: none is given back as deaf, since nobody was answered meanwhile, and none is rented.
+#[test]
+fn after_an_outage_idle_machines_take_the_work() {
+    for seed in 0..6 {
+        assert_eq!(after_an_outage(seed, Guards::default()), (0, 0), "seed {seed}");
+    }
+    let (rented, deleted) = after_an_outage(0, Guards { asleep: false, ..Guards::default() });
+    assert!(rented > 2 && deleted >= 12, "{rented} rented, {deleted} given back");
+}
+
+/// Nothing reaches the leader but the state service for eight seconds, in which work comes.
+/// Machines rented by the end of that.
+fn unheard_for_a_moment(seed: u64, guards: Guards) -> u32 {
+    // (In one zone, so that it is not taken for a zone that is out of reach.)
+    let first = (2.0, in_zone("a", array(1, 12, 4.0, 20.0)), None);
+    let later = (2..5).map(|n| (51.2, array(n, 2, 4.0, 60.0), None));
+    let mut sim = day(seed, guards, 60, [first].into_iter().chain(later).collect());
+    sim.run(45.0);
+    let (rented, Some(node)) = (sim.rented(), sim.leader()) else { return 0 };
+    sim.strike(Fault::PeersCut { node, for_s: 8.0 });
+    sim.strike(Fault::Cut { node, state: false, workers: true, for_s: 8.0 });
+    assert_eq!(sim.run(53.3), [], "seed {seed}");
+    assert_eq!(sim.leader(), Some(node), "seed {seed}: another leads");
+    assert!(sim.ledger.accepted.len() == 4 && sim.machines() >= 12, "seed {seed}");
+    sim.rented() - rented
+}
+
+/// What fell silent a moment ago is probably there; that is waited for, for one gap of reports.
+#[test]
+fn nothing_is_rented_for_what_silent_machines_may_take() {
+    for seed in 0..6 {
+        assert_eq!(unheard_for_a_moment(seed, Guards::default()), 0, "seed {seed}");
+    }
+    let off = Guards { asleep: false, ..Guards::default() };
+    assert!((0..6).any(|seed| unheard_for_a_moment(seed, off) > 0));
+}
+
 /// Work bound to a zone that is full, while fewer machines stand in the other: of one zone by name, an
 /// array that has begun there, a service of which half may be in each. The jobs that
 /// have not ended, or begun.
