--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod archive;
 mod authority;
+mod beside;
 mod bound;
 mod commit;
 mod deaf;
@@ -249,6 +250,8 @@
     pub lineage: bool,
     /// A machine that hears no answer gets no work.
     pub ears: bool,
+    /// What has waited long beside free places takes them.
+    pub beside: bool,
     /// Machines that are only not heard again yet, or that nobody answered for a while, are
     /// neither replaced nor given back.
     pub asleep: bool,
@@ -272,6 +275,7 @@
             awaits: true,
             lineage: true,
             ears: true,
+            beside: true,
             asleep: true,
             bound: true,
             gateway: GatewayGuards::default(),
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -302,6 +302,7 @@
                     });
                     machines[m].busy.push(Busy {
                         end: end.max(now + 0.5),
+                        endless: job.spec.shape == Shape::Service && p.stopping.is_none(),
                         takes: need,
                         band: urgent.band,
                         team: team.unwrap_or(usize::MAX),
@@ -344,14 +345,25 @@
         let others = serious.len().max(l.others_most);
         let alone = serious.is_empty() && open_jobs.iter().all(|j| self.leftover(&j.3.spec) && !j.0.needed);
         let mut spare_left = if alone { usize::MAX } else { others.saturating_sub(spare.len()) };
-        // Of a flood, the most urgent and then the oldest are looked at.
-        // (Taking the oldest alone once left urgent newcomers out.)
-        open_jobs.sort_by_key(|j| std::cmp::Reverse(j.0.band));
+        // Of a flood, the most urgent and then the oldest are looked at, first those whose team
+        // is under its limit. (Taking the oldest alone once left urgent newcomers out.)
+        let under_limit = |team: usize, s: &JobSpec| {
+            let fits = |left: Option<f64>, need: f64| left.is_none_or(|x| need <= x + 1e-6);
+            let t: &plan::Team = &teams[team];
+            fits(t.cores_left, s.cores) && fits(t.accelerators_left, s.accelerators)
+        };
+        open_jobs.sort_by_key(|j| std::cmp::Reverse((under_limit(j.1, &j.3.spec), j.0.band)));
         for (urgent, team, id, job) in open_jobs.into_iter().take(MOST_JOBS) {
             let s = &job.spec;
             let is_guaranteed = guaranteed.contains(id.as_str());
             let leftover = self.leftover(s) && !is_guaranteed && !urgent.needed;
-            let probe = job.suspect();
+            let suspect = job.suspect();
+            // What nobody waits for gets one place that is free anyway in the end.
+            let left_over_long = leftover
+                && self.guards.beside
+                && job.places.is_empty()
+                && now - job.since > self.d.lying_s / 2.0;
+            let (leftover, probe) = (leftover && !left_over_long, suspect || left_over_long);
             let waiting = match (probe, s.shape) {
                 (true, Shape::Array | Shape::Service) if !job.places.is_empty() => continue,
                 (true, Shape::Array | Shape::Service) => job.waiting(1),
@@ -427,6 +439,9 @@
                 leftover,
                 floor: false,
                 keeps_until: 0.0,
+                passed_over: self.guards.beside
+                    && job.places.is_empty()
+                    && l.beside.passed_over(id, now, self.d.lying_s),
                 spot_only,
                 avoid: if leftover {
                     kept.clone()
@@ -490,6 +505,7 @@
         let passed: Vec<(String, pipeline::Passed)> = passed.into_iter().collect();
         let effort = (made.steps + steps) as f64 / (PLAN_STEPS * self.settings.params.resources.cpu_share);
         if let Role::Leader(l) = &mut self.role {
+            l.beside.look(now, &made.beside.iter().map(|&i| ids[i].as_str()).collect());
             if l.starving != starving {
                 info!(?starving, "classes and teams under their floors");
                 l.starving = starving;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,6 +2,7 @@
 //! and out of them reservations, of which those starting now are launched.
 
 pub mod floor;
+mod room;
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
@@ -61,6 +62,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Busy {
     pub end: f64,
+    /// It ends only when it is cancelled or stopped: nothing is reserved behind it.
+    pub endless: bool,
     pub takes: Amounts,
     pub band: u8,
     pub team: usize,
@@ -148,6 +151,9 @@
     /// Until then, in seconds of the plan's clock, its team's room is kept for it where the limit
     /// has none for it yet (see [`floor::keeps_until`]).
     pub keeps_until: f64,
+    /// It has waited beside free places for too long (see [`room`]): it takes them whatever is
+    /// reserved there for later.
+    pub passed_over: bool,
     /// Machines that it failed on.
     pub avoid: Vec<usize>,
 }
@@ -212,6 +218,8 @@
     timely: u32,
     /// Running work to be stopped for more urgent jobs.
     pub stops: Vec<usize>,
+    /// Jobs that go on waiting although a place that may be theirs is free.
+    pub beside: Vec<usize>,
     /// What the plan took: looks at a machine or at a job.
     pub steps: u64,
 }
@@ -506,7 +514,7 @@
     busy: Vec<Busy>,
     /// Reserved for a job of higher priority from `start` on.
     reserved: Vec<(f64, Amounts)>,
-    /// What is left of the machine for good once running work has ended.
+    /// What is left of the machine for good once running work has ended or was stopped.
     rest: Amounts,
     /// The latest start of a reservation.
     last: f64,
@@ -528,8 +536,10 @@
         let mut free = self.free;
         let mut next = 0;
         loop {
-            while next < self.busy.len() && self.busy[next].end <= at {
-                free.give(&self.busy[next].takes);
+            while next < self.busy.len() && (self.busy[next].end <= at || self.busy[next].endless) {
+                if !self.busy[next].endless {
+                    free.give(&self.busy[next].takes);
+                }
                 next += 1;
             }
             let mut left = free;
@@ -611,15 +621,33 @@
     run_s: f64,
     kinds: Vec<usize>,
     spot: bool,
+    spot_only: bool,
     zone: Option<usize>,
     one_zone: bool,
 }
 
 impl Barrier {
+    /// `run_s`: at least what its run takes anywhere.
+    fn of(job: &Job, run_s: f64) -> Self {
+        Barrier {
+            shape: job.shape,
+            band: job.band,
+            needs: job.needs,
+            tasks: job.waiting.len(),
+            run_s,
+            kinds: job.kinds.clone(),
+            spot: job.spot,
+            spot_only: job.spot_only,
+            zone: job.zone,
+            one_zone: job.one_zone,
+        }
+    }
+
     fn stops(&self, job: &Job) -> bool {
         let gang = job.shape == Shape::Gang;
         gang == (self.shape == Shape::Gang)
             && job.band <= self.band
+            && (!self.spot_only || job.spot_only)
             && job.needs.holds(&self.needs)
             && (!gang || job.waiting.len() >= self.tasks)
             && job.run_s >= self.run_s
@@ -642,6 +670,8 @@
     barriers: Vec<Barrier>,
     /// One of each sort of work that may be stopped.
     preys: Vec<Busy>,
+    /// Jobs for which their teams' room is kept.
+    kept: Vec<usize>,
     /// Looks at a machine for a job, as a measure of the effort.
     steps: u64,
 }
@@ -686,6 +716,7 @@
             least,
             barriers: Vec::new(),
             preys,
+            kept: Vec::new(),
             steps: 0,
         }
     }
@@ -706,17 +737,7 @@
         if self.barriers.len() < MOST_BARRIERS && job.zone_cap.is_none() && !bound {
             let slowest = self.p.types.iter().map(|t| t.fetch_gb_per_s).filter(|r| *r > 0.0);
             let fetch = job.image_gb / slowest.fold(f64::MAX, f64::min);
-            self.barriers.push(Barrier {
-                shape: job.shape,
-                band: job.band,
-                needs: job.needs,
-                tasks: job.waiting.len(),
-                run_s: job.run_s + fetch,
-                kinds: job.kinds.clone(),
-                spot: job.spot,
-                zone: job.zone,
-                one_zone: job.one_zone,
-            });
+            self.barriers.push(Barrier::of(job, job.run_s + fetch));
         }
     }
 
@@ -733,12 +754,16 @@
     }
 
     fn allowed(&self, job: &Job, m: usize) -> bool {
+        self.suits(job, m) && !job.avoid.contains(&m)
+    }
+
+    /// Whether the job may run on machine `m` at all.
+    fn suits(&self, job: &Job, m: usize) -> bool {
         let machine = &self.p.machines[m];
         job.kinds.contains(&machine.kind)
             && (!machine.spot || job.spot)
             && (machine.spot || !job.spot_only)
             && job.zone.is_none_or(|z| z == machine.zone)
-            && !job.avoid.contains(&m)
     }
 
     /// Earliest place of one task on machine `m`. Earlier ends come first,
@@ -748,9 +773,15 @@
             return None;
         }
         let machine = &self.p.machines[m];
-        let fetch = self.fetch_s(job, m);
-        let run = (fetch + job.run_s) * machine.slowness;
+        let run = (self.fetch_s(job, m) + job.run_s) * machine.slowness;
         let at = self.slots[m].earliest(self.p.now, machine.ready, &job.needs, run)?;
+        Some(Option1 { machine: m, at, rank: self.rank(job, m) })
+    }
+
+    /// How well a task fits machine `m`, the smaller the better.
+    fn rank(&self, job: &Job, m: usize) -> (f64, f64) {
+        let machine = &self.p.machines[m];
+        let fetch = self.fetch_s(job, m);
         let t = &self.p.types[machine.kind];
         let side = f64::from(t.size.count(&job.needs).max(1));
         let price = if machine.spot { t.spot_price } else { t.price };
@@ -760,7 +791,7 @@
         // ranks behind any spot machine for a job that may use either.
         let cost = price / side * (job.run_s * machine.slowness + fetch);
         let empty = left.cores / t.size.cores.max(SLACK) + left.accelerators / t.size.accelerators.max(SLACK);
-        Some(Option1 { machine: m, at, rank: (cost * (1.0 + OPENING * empty), empty) })
+        (cost * (1.0 + OPENING * empty), empty)
     }
 
     fn team_allows(&self, job: &Job, tasks: u32) -> bool {
@@ -773,13 +804,14 @@
     /// Keeps what is left of its team's limit for a job that the limit has no room for yet, if enough
     /// of the team's work is expected to end in time. (What came free under a full limit once went to
     /// the team's small jobs, and its largest gang never began.)
-    fn keep_limit(&mut self, job: &Job) -> bool {
+    fn keep_limit(&mut self, i: usize) -> bool {
+        let job = &self.p.jobs[i];
         let n = if job.shape == Shape::Gang { job.waiting.len() as u32 } else { 1 };
         if self.p.now >= job.keeps_until || self.team_allows(job, n) {
             return false;
         }
         let ending = self.slots.iter().flat_map(|s| &s.busy);
-        let ending = ending.filter(|b| b.team == job.team && b.end <= job.keeps_until);
+        let ending = ending.filter(|b| b.team == job.team && !b.endless && b.end <= job.keeps_until);
         let mut freed = Amounts::new(0.0, 0.0, 0.0);
         ending.for_each(|b| freed.give(&b.takes));
         let need = job.needs.times(f64::from(n));
@@ -789,6 +821,7 @@
         let in_time = enough(t.cores_left, freed.cores, need.cores)
             && enough(t.accelerators_left, freed.accelerators, need.accelerators);
         if in_time {
+            self.kept.push(i);
             t.cores_left = t.cores_left.map(|x| x - need.cores);
             t.accelerators_left = t.accelerators_left.map(|x| x - need.accelerators);
         }
@@ -801,7 +834,8 @@
             let busy = &mut self.slots[m].busy;
             let place = busy.partition_point(|b| b.end <= end);
             let (takes, band, team, covered) = (job.needs, job.band, job.team, job.guaranteed);
-            busy.insert(place, Busy { end, takes, band, team, covered, victim: None });
+            let endless = job.shape == Shape::Service;
+            busy.insert(place, Busy { end, endless, takes, band, team, covered, victim: None });
             if !self.images[m].contains(&job.image) {
                 self.images[m].push(job.image);
             }
@@ -873,15 +907,16 @@
             return None;
         }
         self.steps += 1;
-        if self.barriers.iter().any(|b| b.stops(job)) {
+        let taken = if job.passed_over { self.take_free(i, plan) } else { 0 };
+        if taken == job.waiting.len() || self.barriers.iter().any(|b| b.stops(job)) {
             return None;
         }
-        if self.keep_limit(job) {
+        if self.keep_limit(i) {
             return None;
         }
         match job.shape {
             Shape::Gang => self.reserve_gang(i, windows, plan),
-            Shape::Array | Shape::Service => self.reserve_tasks(i, windows, plan),
+            Shape::Array | Shape::Service => self.reserve_tasks(i, taken, windows, plan),
         }
     }
 
@@ -1024,7 +1059,7 @@
                 if let Some(v) = taken.victim.take() {
                     plan.stops.push(v.owner);
                 }
-                taken.end = begin;
+                (taken.end, taken.endless) = (begin, false);
             }
             self.slots[m].busy.sort_by(|a, b| a.end.total_cmp(&b.end));
             let fetch = self.fetch_s(job, m);
@@ -1036,7 +1071,14 @@
         Some(Reservation { job: i, kind, start, end, decides: false })
     }
 
-    fn reserve_tasks(&mut self, i: usize, windows: &[Option<f64>], plan: &mut Plan) -> Option<Reservation> {
+    /// Of an array or a service; its first `taken` tasks have their places.
+    fn reserve_tasks(
+        &mut self,
+        i: usize,
+        taken: usize,
+        windows: &[Option<f64>],
+        plan: &mut Plan,
+    ) -> Option<Reservation> {
         let p = self.p;
         let job = &p.jobs[i];
         if !self.team_allows(job, 1) {
@@ -1044,6 +1086,7 @@
         }
         let mut load = job.zone_load.clone();
         load.resize(p.zones, 0);
+        plan.starts.iter().rev().take(taken).for_each(|s| load[p.machines[s.machine].zone] += 1);
         let mut zone = if job.one_zone {
             let held = load.iter().position(|&n| n > 0);
             held.or_else(|| self.best_zone(job))
@@ -1063,7 +1106,7 @@
         if !job.guaranteed {
             until = until.max(job.deadline - job.run_s);
         }
-        let mut tasks = job.waiting.iter();
+        let mut tasks = job.waiting[taken..].iter();
         while let Some(&task) = tasks.as_slice().first() {
             if !self.team_allows(job, 1) {
                 break;
@@ -1168,7 +1211,7 @@
                 if let Some(v) = b.victim.take() {
                     plan.stops.push(v.owner);
                 }
-                b.end = begin;
+                (b.end, b.endless) = (begin, false);
             }
             self.slots[m].busy.sort_by(|a, b| a.end.total_cmp(&b.end));
             let end = begin + self.fetch_s(job, m) + job.run_s;
@@ -1206,6 +1249,7 @@
     let mut plan = Plan { order: order(p), ..Plan::default() };
     let mut planner = Planner::new(p);
     let mut windows: Vec<Option<f64>> = vec![None; p.types.len()];
+    let mut open: Vec<usize> = Vec::new();
     for i in plan.order.clone() {
         let before = plan.starts.len();
         plan.timely = 0;
@@ -1222,10 +1266,15 @@
         }
         let started = (plan.starts.len() - before) as u32;
         let left = p.jobs[i].waiting.len() as u32 - started;
+        if left > 0 && p.jobs[i].not_before <= p.now {
+            open.push(i);
+        }
         if left > 0 && p.jobs[i].not_before <= p.now && !p.jobs[i].probe {
             plan.unmet.push(Unmet { job: i, tasks: left, late: left.saturating_sub(plan.timely) });
         }
     }
+    plan.beside = planner.beside(&open);
+    planner.within_limits(&mut plan.unmet);
     plan.steps = planner.steps + p.machines.len() as u64 + p.jobs.len() as u64;
     plan
 }
--- /dev/null
+++ b/crates/plan/src/room.rs
@@ -0,0 +1,127 @@
+//! Room that is free now. A place may be free and yet be kept from a job: what is reserved for
+//! a more urgent one from later on must not be in its way, the job failed on that machine, or
+//! the machine is kept ready for what usually comes. None of that may keep a job for long: the
+//! caller counts how long it has been [`Plan::beside`], and lets it go first in the end.
+
+use super::{Barrier, Job, Option1, Plan, Planner, Shape, Start, Unmet, SLACK};
+
+impl Planner<'_> {
+    /// Machines with free places for `job`'s tasks, one for each: of a gang all or none, of others
+    /// as many as there are, up to `most`.
+    fn free_places(&mut self, job: &Job, roomy: &[usize], most: usize) -> Vec<usize> {
+        let mut load = job.zone_load.clone();
+        load.resize(self.p.zones, 0);
+        let held = load.iter().position(|&n| n > 0);
+        let zones: Vec<Option<usize>> = match (job.one_zone, held) {
+            (true, Some(zone)) => vec![Some(zone)],
+            (true, None) => (0..self.p.zones).map(Some).collect(),
+            (false, _) => vec![None],
+        };
+        self.steps += (roomy.len() * zones.len()) as u64;
+        let mut options: Vec<Option1> = roomy
+            .iter()
+            .filter(|&&m| self.suits(job, m) && self.p.machines[m].ready <= self.p.now)
+            .filter(|&&m| self.slots[m].free.holds(&job.needs))
+            .map(|&machine| Option1 { machine, at: self.p.now, rank: self.rank(job, machine) })
+            .collect();
+        options.sort_unstable();
+        let mut best = Vec::new();
+        for zone in zones {
+            let (mut load, mut picked) = (load.clone(), Vec::new());
+            for o in &options {
+                let z = self.p.machines[o.machine].zone;
+                if zone.is_some_and(|only| only != z) {
+                    continue;
+                }
+                let room = self.slots[o.machine].free.count(&job.needs) as usize;
+                let cap = job.zone_cap.map_or(usize::MAX, |c| c.saturating_sub(load[z]) as usize);
+                let n = room.min(cap).min(most - picked.len());
+                load[z] += n as u32;
+                picked.extend(std::iter::repeat_n(o.machine, n));
+            }
+            if picked.len() > best.len() {
+                best = picked;
+            }
+        }
+        if job.shape == Shape::Gang && best.len() < job.waiting.len() {
+            best.clear();
+        }
+        best
+    }
+
+    /// How many of the job's waiting tasks its team may have now; a gang's only all together.
+    fn within_limit(&self, job: &Job) -> usize {
+        let n = job.waiting.len();
+        if job.shape == Shape::Gang {
+            return if self.team_allows(job, n as u32) { n } else { 0 };
+        }
+        let t = &self.teams[job.team];
+        let part = |left: Option<f64>, need: f64| match left {
+            Some(x) if need > 0.0 => ((x + SLACK) / need).max(0.0) as usize,
+            _ => n,
+        };
+        n.min(part(t.cores_left, job.needs.cores)).min(part(t.accelerators_left, job.needs.accelerators))
+    }
+
+    /// Gives job `i` the places that are free now, whatever is reserved there. Returns how many
+    /// of its tasks got one.
+    pub(crate) fn take_free(&mut self, i: usize, plan: &mut Plan) -> usize {
+        let p = self.p;
+        let job = &p.jobs[i];
+        let most = self.within_limit(job);
+        let all: Vec<usize> = (0..p.machines.len()).collect();
+        let places = if most > 0 { self.free_places(job, &all, most) } else { Vec::new() };
+        for (&task, &machine) in job.waiting.iter().zip(&places) {
+            plan.starts.push(Start { job: i, task, machine });
+            let run = self.fetch_s(job, machine) + job.run_s;
+            self.occupy(job, machine, p.now, p.now + run * p.machines[machine].slowness);
+        }
+        if !places.is_empty() {
+            self.prune();
+        }
+        places.len()
+    }
+
+    /// Those of `open`, jobs that go on waiting, that do so beside a free place of theirs.
+    pub(crate) fn beside(&mut self, open: &[usize]) -> Vec<usize> {
+        let p = self.p;
+        let least = self.least.0;
+        let roomy: Vec<usize> = (0..p.machines.len())
+            .filter(|&m| p.machines[m].ready <= p.now && self.slots[m].free.holds(&least))
+            .collect();
+        // What found nothing speaks for all that ask for as much.
+        let (mut beside, mut fruitless): (Vec<usize>, Vec<Barrier>) = Default::default();
+        for &i in open.iter().filter(|_| !roomy.is_empty()) {
+            let job = &p.jobs[i];
+            self.steps += 1;
+            if self.within_limit(job) == 0 || fruitless.iter().any(|b| b.stops(job)) {
+                continue;
+            }
+            let alike = job.zone_cap.is_none() && (!job.one_zone || job.shape == Shape::Gang);
+            if !self.free_places(job, &roomy, job.waiting.len()).is_empty() {
+                beside.push(i);
+            } else if alike {
+                fruitless.push(Barrier { band: u8::MAX, ..Barrier::of(job, 0.0) });
+            }
+        }
+        beside
+    }
+
+    /// Takes off `unmet` what the teams' limits let nobody run now: a machine more would be of no
+    /// use to it. (A team at its limit of two machines once had sixty rented, again and again.)
+    pub(crate) fn within_limits(&mut self, unmet: &mut Vec<Unmet>) {
+        let kept = self.teams.clone();
+        // What is kept for a job comes free while its machines boot.
+        for u in unmet.iter_mut().filter(|u| !self.kept.contains(&u.job)) {
+            let job = &self.p.jobs[u.job];
+            u.tasks = u.tasks.min(self.within_limit(job) as u32);
+            u.late = u.late.min(u.tasks);
+            let t = &mut self.teams[job.team];
+            let n = f64::from(u.tasks);
+            t.cores_left = t.cores_left.map(|x| x - n * job.needs.cores);
+            t.accelerators_left = t.accelerators_left.map(|x| x - n * job.needs.accelerators);
+        }
+        unmet.retain(|u| u.tasks > 0);
+        self.teams = kept;
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/common/mod.rs
@@ -0,0 +1,71 @@
+//! Small problems.
+
+use anisecroft_plan::*;
+
+/// Type 0: 4 slots at 4.0 (1.0 a slot); type 1: 2 slots at 6.0 (3.0 a slot).
+pub fn types() -> Vec<Type> {
+    let t = |accelerators: f64, price: f64| Type {
+        size: Amounts::new(100.0, accelerators, 100.0),
+        price,
+        spot_price: price / 4.0,
+        fetch_gb_per_s: 1.0,
+    };
+    vec![t(4.0, 4.0), t(2.0, 6.0)]
+}
+
+pub fn machine(kind: usize, zone: usize) -> Machine {
+    Machine {
+        kind,
+        zone,
+        spot: false,
+        ready: 0.0,
+        free: types()[kind].size,
+        busy: vec![],
+        images: vec![1],
+        slowness: 1.0,
+    }
+}
+
+pub fn job(shape: Shape, tasks: u32, accelerators: f64, run_s: f64, deadline: f64) -> Job {
+    Job {
+        band: 1,
+        shape,
+        waiting: (0..tasks).collect(),
+        needs: Amounts::new(1.0, accelerators, 1.0),
+        run_s,
+        image: 1,
+        image_gb: 0.0,
+        kinds: vec![0, 1],
+        zone: None,
+        one_zone: false,
+        zone_cap: None,
+        zone_load: vec![],
+        spot: false,
+        submitted: 0.0,
+        deadline,
+        last_chance: deadline,
+        team: 0,
+        guaranteed: false,
+        not_before: 0.0,
+        probe: false,
+        leftover: false,
+        floor: false,
+        keeps_until: 0.0,
+        passed_over: false,
+        spot_only: false,
+        avoid: Vec::new(),
+    }
+}
+
+pub fn problem(machines: Vec<Machine>, jobs: Vec<Job>) -> Problem {
+    Problem {
+        now: 0.0,
+        types: types(),
+        zones: 2,
+        machines,
+        jobs,
+        teams: vec![Team::default()],
+        bound_s: 1000.0,
+        patience_s: 5.0,
+    }
+}
--- a/crates/plan/tests/cura.rs
+++ b/crates/plan/tests/cura.rs
@@ -1,76 +1,12 @@
 //! The paper's rules on small examples worked out by hand, and properties on
 //! generated problems.
 
+mod common;
+
 use anisecroft_plan::*;
+use common::*;
 use proptest::prelude::*;
 
-/// Type 0: 4 slots at 4.0 (1.0 a slot); type 1: 2 slots at 6.0 (3.0 a slot).
-fn types() -> Vec<Type> {
-    let t = |accelerators: f64, price: f64| Type {
-        size: Amounts::new(100.0, accelerators, 100.0),
-        price,
-        spot_price: price / 4.0,
-        fetch_gb_per_s: 1.0,
-    };
-    vec![t(4.0, 4.0), t(2.0, 6.0)]
-}
-
-fn machine(kind: usize, zone: usize) -> Machine {
-    Machine {
-        kind,
-        zone,
-        spot: false,
-        ready: 0.0,
-        free: types()[kind].size,
-        busy: vec![],
-        images: vec![1],
-        slowness: 1.0,
-    }
-}
-
-fn job(shape: Shape, tasks: u32, accelerators: f64, run_s: f64, deadline: f64) -> Job {
-    Job {
-        band: 1,
-        shape,
-        waiting: (0..tasks).collect(),
-        needs: Amounts::new(1.0, accelerators, 1.0),
-        run_s,
-        image: 1,
-        image_gb: 0.0,
-        kinds: vec![0, 1],
-        zone: None,
-        one_zone: false,
-        zone_cap: None,
-        zone_load: vec![],
-        spot: false,
-        submitted: 0.0,
-        deadline,
-        last_chance: deadline,
-        team: 0,
-        guaranteed: false,
-        not_before: 0.0,
-        probe: false,
-        leftover: false,
-        floor: false,
-        keeps_until: 0.0,
-        spot_only: false,
-        avoid: Vec::new(),
-    }
-}
-
-fn problem(machines: Vec<Machine>, jobs: Vec<Job>) -> Problem {
-    Problem {
-        now: 0.0,
-        types: types(),
-        zones: 2,
-        machines,
-        jobs,
-        teams: vec![Team::default()],
-        bound_s: 1000.0,
-        patience_s: 5.0,
-    }
-}
-
 /// A runs 100 s with a deadline at 150, B 100 s with one at 1000; one task
 /// each. A then B: 100 + 100, both in time: cost 200. B then A: A ends at 200,
 /// late, and is bought at twice its cost: 100 + 200. So A's deferral costs 100
@@ -104,6 +40,7 @@
     busy.free = Amounts::new(100.0, 0.0, 100.0);
     busy.busy = vec![Busy {
         end: 60.0,
+        endless: false,
         takes: Amounts::new(0.0, 4.0, 0.0),
         band: 1,
         team: 0,
@@ -139,6 +76,7 @@
         .enumerate()
         .map(|(owner, &lost_s)| Busy {
             end: 100.0 - lost_s,
+            endless: false,
             takes,
             band: 1,
             team: 0,
@@ -163,6 +101,7 @@
     m.free = Amounts::new(50.0, 0.0, 50.0);
     let held = |owner: usize, team: usize, covered: bool| Busy {
         end: 400.0,
+        endless: false,
         takes: Amounts::new(1.0, 1.0, 1.0),
         band: 1,
         team,
@@ -189,7 +128,7 @@
     m.free = Amounts::new(50.0, 0.0, 50.0);
     let victim = Some(Victim { owner: 7, lost_s: 10.0, stop_s: 1.0 });
     let takes = Amounts::new(4.0, 4.0, 4.0);
-    m.busy = vec![Busy { end: 60.0, takes, band: 0, team: 0, covered: false, victim }];
+    m.busy = vec![Busy { end: 60.0, endless: false, takes, band: 0, team: 0, covered: false, victim }];
     let due = |due: f64| plan(&problem(vec![m.clone()], vec![job(Shape::Array, 2, 1.0, 30.0, due)])).stops;
     assert_eq!(due(200.0), Vec::<usize>::new());
     assert_eq!(due(80.0), vec![7]);
@@ -205,7 +144,7 @@
     m.free = Amounts::new(50.0, 0.0, 50.0);
     let victim = Some(Victim { owner: 7, lost_s: 10.0, stop_s: 1.0 });
     let takes = Amounts::new(4.0, 4.0, 4.0);
-    m.busy = vec![Busy { end: 60.0, takes, band: 0, team: 0, covered: false, victim }];
+    m.busy = vec![Busy { end: 60.0, endless: false, takes, band: 0, team: 0, covered: false, victim }];
     for shape in [Shape::Array, Shape::Gang] {
         let made = plan(&problem(vec![m.clone()], vec![Job { shape, ..probe.clone() }]));
         assert!(made.starts.is_empty() && made.stops.is_empty() && made.unmet.is_empty());
@@ -235,6 +174,7 @@
                 let takes = Amounts::new(4.0, 4.0, 4.0);
                 m.busy = vec![Busy {
                     end: 50.0 + i as f64 / 100.0,
+                    endless: false,
                     takes,
                     band: 1,
                     team: 0,
@@ -262,7 +202,7 @@
     let other = Job { team: 1, ..job(Shape::Array, 1, 1.0, 50.0, 100.0) };
     let starts = |keeps_until: f64, ends: f64| {
         let takes = Amounts::new(0.0, 2.0, 0.0);
-        let busy = Busy { end: ends, takes, band: 1, team: 0, covered: false, victim: None };
+        let busy = Busy { end: ends, endless: false, takes, band: 1, team: 0, covered: false, victim: None };
         let running = Machine { free: Amounts::new(100.0, 2.0, 100.0), busy: vec![busy], ..machine(0, 0) };
         let small = job(Shape::Array, 2, 1.0, 50.0, 100.0);
         let machines = vec![running, machine(0, 0), machine(0, 0)];
@@ -293,7 +233,7 @@
             let mut m = Machine { spot, ..machine(kind, zone) };
             let takes = Amounts::new(0.0, used.min(m.free.accelerators), 0.0);
             m.free.take(&takes);
-            m.busy.push(Busy { end: 50.0, takes, band: 0, team: 0, covered: false, victim: None });
+            m.busy.push(Busy { end: 50.0, endless: false, takes, band: 0, team: 0, covered: false, victim: None });
             m
         }).collect();
         let jobs: Vec<Job> = jobs.into_iter().map(|(shape, tasks, acc, run, due, one_zone, spot, band)| Job {
@@ -357,7 +297,7 @@
             let mut m = Machine { spot, ..machine(kind, 0) };
             let used = Amounts::new(0.0, (m.free.accelerators - f64::from(room)).max(0.0), 0.0);
             m.free.take(&used);
-            m.busy.push(Busy { end: 1e5, takes: used, band: 1, team: 0, covered: false, victim: None });
+            m.busy.push(Busy { end: 1e5, endless: false, takes: used, band: 1, team: 0, covered: false, victim: None });
             if !image { m.images.clear(); }
             m
         }).collect();
@@ -369,7 +309,7 @@
             let p = problem(left.clone(), vec![Job { waiting: vec![task], ..j.clone() }]);
             let Some(&s) = plan(&p).starts.first() else { break };
             left[s.machine].free.take(&j.needs);
-            left[s.machine].busy.push(Busy { end: 1e4, takes: j.needs, band: 1, team: 0, covered: false, victim: None });
+            left[s.machine].busy.push(Busy { end: 1e4, endless: false, takes: j.needs, band: 1, team: 0, covered: false, victim: None });
             if !left[s.machine].images.contains(&1) { left[s.machine].images.push(1); }
             one_by_one.push((s.task, s.machine));
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -372,6 +372,9 @@
     /// is under its floor: three leases, by when what a cut or a crash held up
     /// has been placed anew.
     pub starving_s: f64,
+    /// A job that has waited that long beside a free place takes it, whatever keeps it from there:
+    /// half of what the operators allow. The rest is for the plan, the commit and the way.
+    pub lying_s: f64,
     /// A leader that acts again rents nothing yet for what machines would take which were there
     /// before and have not reported since: one report at the longest spacing, and the way.
     pub back_s: f64,
@@ -403,6 +406,9 @@
 /// How long a submission is repeated (fixed by the protocol).
 const SUBMIT_S: f64 = 60.0;
 
+/// How long work may be left lying beside room that fits (the operators' figure).
+const LYING_S: f64 = 90.0;
+
 /// How much faster one clock may run than another: 0.05% each, with room.
 pub const DRIFT: f64 = 1.002;
 
@@ -431,6 +437,7 @@
             gather_s: w.gang_wait_s * 4.0,
             dark_hold_s: w.lease_s * 3.0,
             starving_s: w.lease_s * 3.0,
+            lying_s: LYING_S * 0.5,
             back_s: w.report_s * 1.75,
             abandon_s: SUBMIT_S * 10.0,
             heard_s: w.report_s * 3.0,
--- a/crates/testkit/tests/left_lying.rs
+++ b/crates/testkit/tests/left_lying.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use anisecroft_testkit::{Fault, Setup, Sim};
+use anisecroft_testkit::{Fault, Rule, Setup, Sim};
 use common::*;
 use engine::Guards;
 use wire::job::*;
@@ -110,3 +110,70 @@
     let off = Guards { bound: false, ..Guards::default() };
     assert!((0..6).any(|seed| !bound(seed, off).is_empty()));
 }
+
+/// Nothing is rented for work that a team's limit lets nobody run. (Sixty machines were once, for a
+/// team of two.)
+#[test]
+fn a_team_at_its_limit_has_nothing_rented() {
+    for seed in 0..3 {
+        let mut s = setup(seed, vec![]);
+        unlimited(&mut s);
+        for t in &mut s.settings.params.teams {
+            t.accelerators_max = 8.0;
+        }
+        let late = |n| JobSpec { due_s: Some(60.0), ..array(n, 1, 4.0, 30.0) };
+        let jobs = (10..60).map(|n| (2.0 + n as f64 * 0.2, late(n), None)).collect();
+        let mut sim = Sim::new(Setup { jobs, capacity: 60, loss: 0.0, ..s });
+        assert_eq!(sim.run(200.0), [], "seed {seed}");
+        assert!(sim.rented() < 10, "seed {seed}: {} rented", sim.rented());
+    }
+}
+
+/// A gang needs all three machines, of which an array holds one for the whole day; work that takes
+/// longer than that comes, and work that does not.
+fn held_for_a_gang(seed: u64, guards: Guards) -> Vec<Rule> {
+    let gang = JobSpec { shape: Shape::Gang, due_s: Some(10.0), ..array(10, 3, 4.0, 30.0) };
+    let jobs = vec![
+        (2.0, array(1, 1, 4.0, 3000.0), None),
+        (2.0, array(2, 2, 4.0, 30.0), None),
+        (5.0, gang, None),
+        (80.0, array(20, 1, 4.0, 5000.0), None),
+        (80.0, array(21, 1, 1.0, 30.0), None),
+    ];
+    let mut sim = day(seed, guards, 3, jobs);
+    sim.run(400.0).iter().map(|b| b.rule).collect()
+}
+
+/// A place that is held for a gang is given to others in the end.
+#[test]
+fn no_place_is_held_for_long() {
+    for seed in 0..6 {
+        assert_eq!(held_for_a_gang(seed, Guards::default()), [], "seed {seed}");
+    }
+    let off = Guards { beside: false, ..Guards::default() };
+    assert!((0..6).any(|seed| held_for_a_gang(seed, off) == [Rule::LeftWaiting]));
+}
+
+/// What nobody waits for may use the cheaper type only, which cannot be had, while a dearer machine
+/// that others use has room.
+fn left_beside_a_dear_machine(seed: u64, guards: Guards) -> Vec<Rule> {
+    let mut s = setup(seed, vec![]);
+    unlimited(&mut s);
+    s.types.push(wire::cloud::MachineType { name: "dear".into(), price: 40.0, ..s.types[0].clone() });
+    let dear = JobSpec { types: Some(vec!["dear".into()]), ..array(1, 1, 1.0, 3000.0) };
+    let idle = JobSpec { priority: Priority::Low, class: "spare".into(), ..array(2, 3, 1.0, 30.0) };
+    let jobs = vec![(2.0, dear, None), (60.0, idle, None)];
+    let nodes = 3 + 2 * (seed % 2) as usize;
+    let mut sim = Sim::new(Setup { jobs, capacity: 1, nodes, guards, loss: 0.0, ..s });
+    sim.run(300.0).iter().map(|b| b.rule).collect()
+}
+
+/// It gets room that is free anyway.
+#[test]
+fn what_nobody_waits_for_gets_what_is_free() {
+    for seed in 0..4 {
+        assert_eq!(left_beside_a_dear_machine(seed, Guards::default()), [], "seed {seed}");
+    }
+    let off = Guards { beside: false, ..Guards::default() };
+    assert_eq!(left_beside_a_dear_machine(0, off), [Rule::LeftWaiting]);
+}
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -64,13 +64,14 @@
     assert!(sims.iter().any(|s| s.kept_delivered() > 0));
 }
 
-/// The controllers take a team to be at its limit that is not.
+/// The controllers take a team to be at its limit that is not. (Its last machine has room for one
+/// task more, since none is rented for work beyond a limit.)
 #[test]
 fn what_waits_beside_room_is_noticed() {
     let mut s = setup(3, vec![]);
-    let spec = JobSpec { team: "clinics".into(), accelerators: 4.0, ..long_array() };
+    let spec = JobSpec { team: "clinics".into(), accelerators: 1.5, ..long_array() };
     s.jobs =
-        (1..4).map(|n| (1.0, JobSpec { id: format!("req-{n}"), tasks: 1, ..spec.clone() }, None)).collect();
+        (1..7).map(|n| (1.0, JobSpec { id: format!("req-{n}"), tasks: 1, ..spec.clone() }, None)).collect();
     let mut without = s.settings.clone();
     without.params.teams.iter_mut().for_each(|t| t.accelerators_max = 0.0);
     let run = |judged: bool| {
