A cancellation's mark counts beside an end on its way, and is never missed by a poll

Cause: three faults around the mark that cancels a job whose record is too large to be written again. (1) The leader's write of the end was on its way when the mark was confirmed; it failed, but the leader held the job for done already, and its next write stored that over the mark: told cancelled, stored done. Of a job whose specification alone is too large it did not expect a mark at all. (2) A poll read the record and then the mark; if the leader took the mark in between the two, a job that had been told cancelled was called running. (3) A record that fits by a byte or two, and would not once it named the cancellation, was marked, and polls did not look. Change: a mark wins over an end in memory; the leader expects a mark wherever its record may be too large, as it was ever written; polls compare the record's version and the mark in one transaction, from the size on at which a cancellation may leave one.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -216,7 +216,7 @@
             }
             for &page in &pages {
                 let (key, value, version) = if page == 0 {
-                    (job_key(&id), Value::Job(Box::new(job.record())), job.version)
+                    (job_key(&id), Value::Job(Box::new(job.record_to_write())), job.version)
                 } else {
                     let layout = &job.layout;
                     let key = page_key(&id, page, layout.number);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -57,8 +57,8 @@
     pub layout: Layout,
     pub places: BTreeMap<u32, Place>,
     pub version: u64,
-    /// Its stored record may be too large to be written again as it is, so that whoever
-    /// cancels it leaves a mark beside it.
+    /// Its stored record may be, or has been, too large to be written again as it is, so that
+    /// whoever cancels it leaves a mark beside it.
     pub marks: bool,
     /// The version of that mark, once it is known.
     pub mark: Option<u64>,
@@ -159,7 +159,7 @@
         job.freed_at = record.freed_at;
         job.since = submitted + record.freed_at.map_or(0.0, |at| (at - record.at).max(0.0));
         job.load_page(0, record.layout, &record.page, 0, submitted);
-        job.marks = job.layout.wide();
+        job.marks = job.may_be_marked();
         job
     }
 
@@ -267,10 +267,25 @@
         self.layout.keys(id).into_iter().chain(mark).chain(parts).collect()
     }
 
-    /// A mark of its cancellation was found.
+    /// A mark of its cancellation was found. Somebody was told of it, so it wins even over an
+    /// end that this leader was about to store.
     pub fn marked(&mut self, version: u64) {
         self.mark = Some(version);
-        self.withdraw();
+        if self.status != JobStatus::Cancelled {
+            self.status = JobStatus::Cancelled;
+            self.touch_main();
+        }
+    }
+
+    /// Its record, about to be written as it is now.
+    pub fn record_to_write(&mut self) -> JobRecord {
+        self.marks |= self.may_be_marked();
+        self.record()
+    }
+
+    /// Whether its record as it is now may be too large to be written again.
+    fn may_be_marked(&self) -> bool {
+        self.layout.wide() || self.page_size(0) > self.layout.tight()
     }
 
     /// Whether some value of it does not fit the coming limits as it is divided now.
@@ -514,7 +529,7 @@
         // A reread may have shown a later version already (a cancellation on
         // top of this write): versions never go back.
         self.version = self.version.max(revision);
-        (self.marks, self.mark) = (self.layout.wide(), None);
+        self.mark = None;
         let switched = self.layout.count_from_now();
         self.placing.clear();
         for (task, place) in self.places.iter_mut() {
--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -414,10 +414,14 @@
         match r {
             StateReply::Item(Item { value: Value::Job(j), version, .. }) => {
                 // The mark of a cancellation may lie beside a record of that size.
-                if !j.status.is_final() && json_size(&*j) > self.limits.value_bytes() {
+                if !j.status.is_final() && j.may_be_marked(self.limits.value_bytes()) {
                     self.polls.reads.insert(id.to_string(), (era, asks));
+                    let conditions = vec![
+                        Condition { key: job_key(id), version },
+                        Condition { key: mark_key(id), version: 0 },
+                    ];
                     let purpose = Purpose::PollMark { id: id.to_string(), record: j, version };
-                    self.state(purpose, StateOp::Get(mark_key(id)));
+                    self.state(purpose, StateOp::Commit(Txn { conditions, changes: Vec::new() }));
                     return;
                 }
                 if Row::of(&j, version).apart.is_some() && !j.status.is_final() {
@@ -453,18 +457,21 @@
         self.tell_kin();
     }
 
-    /// Whether a job whose record is as large as that has been cancelled by a mark.
+    /// Whether a job whose record is as large as that has been cancelled by a mark. Both are
+    /// compared at once. (Where the mark was read by itself, the leader had written the end and
+    /// removed the mark in between, and a cancelled job was called running.)
     pub(crate) fn on_poll_mark(&mut self, id: &str, record: &JobRecord, version: u64, r: StateReply) {
         let (era, asks) = self.polls.reads.remove(id).unwrap_or_default();
         match r {
-            StateReply::Item(Item { value: Value::Over(o), .. }) => {
-                self.finals.put(id, o.status, o.done);
+            StateReply::Committed(_) => self.tell_record(id, record, version, era, asks),
+            StateReply::Conflict(c) if c.failed.contains(&mark_key(id)) => {
+                self.finals.put(id, JobStatus::Cancelled, 0);
                 for a in asks {
-                    self.say(a, o.status, (o.done, 0), false);
+                    self.say(a, JobStatus::Cancelled, (0, 0), false);
                 }
             }
-            // Had it been marked and written since, its end would be in a later version.
-            StateReply::Missing(_) => self.tell_record(id, record, version, era, asks),
+            // The record has changed since it was read.
+            StateReply::Conflict(_) => self.polls.strangers.extend(asks),
             _ => self.refuse_all(asks, "state service not reached"),
         }
         self.tell_kin();
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -343,6 +343,12 @@
         self
     }
 
+    /// Whether its cancellation may be a mark beside it, where a value may take `fit` bytes:
+    /// another status may take more room than its own.
+    pub fn may_be_marked(&self, fit: usize) -> bool {
+        json_size(self) + STATUS_BYTES > fit
+    }
+
     /// The jobs that it still waits for, as far as the record tells.
     pub fn awaits(&self) -> &[String] {
         if self.freed_at.is_some() || self.status.is_final() {
@@ -352,6 +358,9 @@
     }
 }
 
+/// Bytes by which names of statuses differ, at most.
+const STATUS_BYTES: usize = 8;
+
 /// Most machines that a record remembers.
 pub const MOST_RAN_ON: usize = 40;
 
