A read answered after a job's end leaves nothing of it in a node's copy

Cause: a job that a node read while another read showed its end came back into the node's copy as running. The end in memory hid it until that had made room for twenty thousand later ones; then the job was called running again, for as long as the copy lasted, which looks on by itself. Change: what is known to be over never comes back into the copy, by whichever way it is noted. Measured: the small test fails without the change and passes with it; `answers` and `polls` pass.

--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -113,12 +113,8 @@
         }
     }
 
-    /// Takes in a record; what is over belongs to the finals.
+    /// Takes in the record of a job that is not over.
     fn note(&mut self, id: &str, r: &JobRecord, version: u64) {
-        if r.status.is_final() {
-            self.rows.remove(id);
-            return;
-        }
         let row = Row::of(r, version);
         match self.rows.get_mut(id) {
             Some(old) if old.version > version || old.version == version && old.apart.is_none() => {}
@@ -339,11 +335,9 @@
                 _ => continue,
             };
             let Some(id) = key.strip_prefix(JOB_PREFIX) else { continue };
-            self.finals.put(id, record.status, record.done);
             // What the copy has passed it has seen, or it began later.
-            if self.polls.revision.is_some_and(|r| *version > r) {
-                self.polls.note(id, record, *version);
-            }
+            let newer = self.polls.revision.is_some_and(|r| *version > r);
+            self.note_state(id, record, *version, newer);
         }
     }
 
@@ -351,8 +345,17 @@
     /// before the copy had begun, a job was once called pending from it that
     /// another node had cancelled by then.)
     pub(crate) fn note_record(&mut self, id: &str, record: &JobRecord, version: u64, era: Option<u64>) {
+        self.note_state(id, record, version, era.is_some() && era == self.polls.era());
+    }
+
+    /// Notes what was stored of a job; `copied`: it belongs into the copy. What is known to be over
+    /// never comes back into it. (A read that was answered after the end left the job there as
+    /// running, which was told once the end in memory had made room for later ones.)
+    fn note_state(&mut self, id: &str, record: &JobRecord, version: u64, copied: bool) {
         self.finals.put(id, record.status, record.done);
-        if era.is_some() && era == self.polls.era() {
+        if self.finals.get(id).is_some() {
+            self.polls.rows.remove(id);
+        } else if copied {
             self.polls.note(id, record, version);
         }
     }
--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -674,6 +674,14 @@
         w
     }
 
+    /// Another leader stores that a job is done.
+    fn finish(&mut self, id: &str) {
+        let Some(Value::Job(j)) = self.stored(job_key(id)) else { return };
+        let record = JobRecord { status: JobStatus::Done, page: PageRecord::default(), ..*j };
+        let changes = vec![put(job_key(id), Value::Job(Box::new(record)))];
+        self.store.execute(self.now, &StateOp::Commit(Txn { conditions: vec![], changes }));
+    }
+
     /// Another leader takes a mark in: one write removes it and stores the cancellation.
     fn take_in(&mut self, id: &str) {
         let Some(Value::Job(j)) = self.stored(job_key(id)) else { return };
@@ -721,6 +729,51 @@
     }
 }
 
+impl World {
+    /// Has job `id` read by node `n` and keeps the reply on its way.
+    fn read_slowly(&mut self, n: usize, id: &str) -> (CallId, StateReply) {
+        let read = StateOp::Get(job_key(id));
+        self.ask(n, id, Request::Poll(id.into()));
+        self.settle(1.0, |op| *op == read);
+        let at = self.calls.iter().position(|c| c.3 == read).expect("it is being read");
+        let call = self.calls.remove(at).2;
+        (call, self.store.execute(self.now, &read).unwrap())
+    }
+
+    /// Stores that so many other jobs are over.
+    fn end_others(&mut self, count: usize) {
+        let over = |n| OverRecord { status: JobStatus::Done, done: n % 7, at: 1e9 };
+        for from in (0..count).step_by(100) {
+            let ids = from..from + 100;
+            let changes =
+                ids.map(|n| put(over_key(&format!("req-{}", 1000 + n)), Value::Over(over(n as u32))));
+            self.store.execute(0.0, &StateOp::Commit(Txn { conditions: vec![], changes: changes.collect() }));
+        }
+    }
+}
+
+/// A read that is answered after the end was seen once left the job among those that run: hidden
+/// behind the end in memory, until that had made room for twenty thousand later ones.
+#[test]
+fn a_read_that_comes_after_the_end_leaves_nothing() {
+    for nodes in [3, 5] {
+        let mut w = World::running(1, nodes, 1000);
+        let (call, reply) = w.read_slowly(1, "req-0");
+        w.finish("req-0");
+        w.ask(1, "req-0", Request::Poll("req-0".into()));
+        w.settle(1.0, |_| false);
+        assert_eq!(w.told.get("req-0"), Some(&Told::Over(JobStatus::Done)));
+        w.feed(1, Input::State(call, reply));
+        w.end_others(20_500);
+        for id in ["req-1000", "req-0"] {
+            w.submitted.insert(id.into());
+            w.ask(1, id, Request::Poll(id.into()));
+            w.settle(1.0, |_| false);
+        }
+        assert_eq!((w.broken, w.open.len()), (None, 0), "{nodes} nodes");
+    }
+}
+
 /// Short jobs at four a second, some waiting for the one before, some wide; users that look closely,
 /// cancel at the end and ask oddly; and by `seed` a trouble beside, or none.
 fn crowd(seed: u64) -> Setup {
