No job accepted by numbers for words or that no zones can hold; known ones told at once

Cause: a shape or an urgency that was a number was taken for a word, as serde does by itself; a gang that is to be spread and is bound to one zone was accepted and could never start; and a repeated submission of a known job with bytes behind its map got 400. Change: the words are read as text only; such a gang gets 422; the id of a malformed submission is read from its first map, whatever follows. Tests: every field missing, null, of another kind and out of range, what fits no machine, zone, team or limit, on three and five nodes; and all of that again under the id of a job that waits, is done or is cancelled, with its type gone.

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::info;
+use wire::cloud::MachineType;
 use wire::job::{valid_id, JobSpec, JobStatus, JobView, Shape};
 use wire::state::{Change, Condition, Item, Txn};
 
@@ -92,6 +93,17 @@
     }
 }
 
+/// The zones that have a machine type which a task of `spec` may run on.
+fn zones_for<'a>(spec: &JobSpec, types: &'a [MachineType]) -> BTreeSet<&'a str> {
+    let needs = Amounts::new(spec.cores, spec.accelerators, spec.memory_gb);
+    let fits = |t: &&MachineType| {
+        spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+            && Amounts::new(t.cores, t.accelerators, t.memory_gb).holds(&needs)
+    };
+    let zones = types.iter().filter(fits).flat_map(|t| &t.zones).map(String::as_str);
+    zones.filter(|z| spec.zone.as_ref().is_none_or(|own| own == z)).collect()
+}
+
 impl Core {
     pub(crate) fn view(
         &mut self,
@@ -117,7 +129,8 @@
             Err(why) => {
                 // A known job's repeated submission must never get 400, so
                 // the id is looked up if there is one.
-                let id = wire::decode::<OnlyId>(body).ok().and_then(|o| o.id).filter(|id| valid_id(id));
+                let named = wire::first_map::<OnlyId>(body).ok().and_then(|(o, _)| o.id);
+                let id = named.filter(|id| valid_id(id));
                 match id {
                     Some(id) => self.inquire(req, &id, 400, &why),
                     None => self.refuse(req, 400, &why),
@@ -205,15 +218,15 @@
         let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
             return Some(Err("unknown team"));
         };
-        let needs = Amounts::new(spec.cores, spec.accelerators, spec.memory_gb);
-        let fits = types.iter().any(|t| {
-            spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-                && Amounts::new(t.cores, t.accelerators, t.memory_gb).holds(&needs)
-        });
-        if !fits {
+        let zones = zones_for(spec, types);
+        if zones.is_empty() {
             return Some(Err("a task fits no allowed machine type"));
         }
+        // All of a gang's tasks run at the same time, at most half of them in a zone.
+        let apart = spec.shape == Shape::Gang && spec.spread && spec.tasks > 1;
+        if apart && (spec.one_zone || zones.len() < 2) {
+            return Some(Err("a gang that is to be spread is bound to one zone"));
+        }
         let at_once = if spec.shape == Shape::Array { 1.0 } else { f64::from(spec.tasks) };
         let over = |need: f64, most: f64| most > 0.0 && need * at_once > most + 1e-6;
         if over(spec.cores, team.cores_max) || over(spec.accelerators, team.accelerators_max) {
--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -10,6 +10,7 @@
 use engine::record::*;
 use engine::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use serde::Serialize;
 use settings::{NextLimits, Operator, Peer, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -848,3 +849,168 @@
 fn many_close_looks_break_no_rule() {
     assert_eq!(crowds(16..816).len(), 800);
 }
+
+/// A field's value as a user may send it.
+#[derive(Clone, Serialize)]
+#[serde(untagged)]
+enum Sent {
+    Id(String),
+    Text(&'static str),
+    Texts(Vec<&'static str>),
+    Number(f64),
+    Count(i64),
+    Flag(bool),
+    Null(()),
+}
+
+type Body = BTreeMap<&'static str, Sent>;
+
+/// A submission that is well formed and can run, without its id.
+fn body() -> Body {
+    use Sent::*;
+    BTreeMap::from([
+        ("lane", Text("work")),
+        ("crew", Text("dispatch")),
+        ("shape", Text("array")),
+        ("urgency", Text("standard")),
+        ("legs", Count(2)),
+        ("cores", Number(1.0)),
+        ("accelerators", Number(1.0)),
+        ("memGb", Number(1.0)),
+        ("kit", Text("img-1")),
+        ("sizeGb", Number(1.0)),
+        ("breeds", Texts(vec!["big"])),
+        ("yard", Text("a")),
+        ("together", Flag(false)),
+        ("spread", Flag(false)),
+        ("loaners", Flag(false)),
+        ("etaS", Number(10.0)),
+        ("waypointS", Number(0.0)),
+        ("stashS", Number(0.0)),
+        ("dueS", Number(60.0)),
+    ])
+}
+
+/// Fields that may be null, and so be omitted.
+const NULLABLE: [&str; 3] = ["breeds", "yard", "dueS"];
+
+/// Submissions and the status that each gets when it is new.
+fn submissions() -> Vec<(String, Body, u16)> {
+    use Sent::*;
+    let mut all = vec![("as it is".to_string(), body(), 201)];
+    let amounts = ["cores", "accelerators", "memGb", "sizeGb", "etaS", "waypointS", "stashS", "dueS"];
+    let mut with = |what: &str, changes: &[(&'static str, Sent)], status: u16| {
+        let mut b = body();
+        b.extend(changes.iter().cloned());
+        all.push((what.to_string(), b, status));
+    };
+    for (field, value) in body() {
+        let nullable = if NULLABLE.contains(&field) { 201 } else { 400 };
+        with(&format!("{field} null"), &[(field, Null(()))], nullable);
+        let other = if matches!(value, Text(_) | Texts(_)) { Count(0) } else { Text("1") };
+        with(&format!("{field} of another kind"), &[(field, other)], 400);
+    }
+    for field in amounts {
+        for bad in [-1.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+            with(&format!("{field} {bad}"), &[(field, Number(bad))], 400);
+        }
+    }
+    for bad in [Count(0), Count(-1), Count(100_001), Number(2.5)] {
+        with("a bad number of tasks", &[("legs", bad)], 400);
+    }
+    for (field, word) in [("shape", "swarm"), ("urgency", "asap"), ("crew", ""), ("lane", ""), ("kit", "")] {
+        with(&format!("{field} {word}"), &[(field, Text(word))], 400);
+    }
+    with("an unknown team", &[("crew", Text("nobody"))], 422);
+    with("no such type", &[("breeds", Texts(vec!["small"]))], 422);
+    with("no type at all", &[("breeds", Texts(vec![]))], 422);
+    with("no such zone", &[("yard", Text("z"))], 422);
+    for (field, most) in [("cores", 16.0), ("accelerators", 4.0), ("memGb", 64.0)] {
+        with(&format!("{field} of a whole machine"), &[(field, Number(most))], 201);
+        with(&format!("{field} beyond any machine"), &[(field, Number(most + 0.5))], 422);
+    }
+    let group = |legs, more: &[(&'static str, Sent)]| {
+        let mut changes = vec![("shape", Text("group")), ("legs", Count(legs)), ("yard", Null(()))];
+        changes.extend(more.iter().cloned());
+        changes
+    };
+    let (apart, at_once) = (("spread", Flag(true)), ("together", Flag(true)));
+    with("a gang at the limit", &group(72, &[]), 201);
+    with("a gang beyond the limit", &group(73, &[]), 422);
+    with("a service beyond the limit", &[("shape", Text("standing")), ("legs", Count(73))], 422);
+    with("an array beyond the limit", &[("legs", Count(73))], 201);
+    with("a gang in two zones", &group(3, std::slice::from_ref(&apart)), 201);
+    with("a gang of one, apart and together", &group(1, &[apart.clone(), at_once.clone()]), 201);
+    with("a gang apart and together", &group(2, &[apart.clone(), at_once]), 422);
+    with("a gang apart in one zone", &group(2, &[apart, ("yard", Text("a"))]), 422);
+    for field in body().into_keys() {
+        let mut b = body();
+        b.remove(field);
+        all.push((format!("no {field}"), b, if NULLABLE.contains(&field) { 201 } else { 400 }));
+    }
+    all
+}
+
+fn sent(body: &Body, id: &str) -> Request {
+    let mut body = body.clone();
+    body.insert("id", Sent::Id(id.into()));
+    Request::Submit(wire::encode(&body))
+}
+
+/// What is malformed gets 400, and what can never run 422.
+#[test]
+fn what_is_odd_is_refused() {
+    for nodes in [3, 5] {
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false });
+        w.settle(1.0, |_| false);
+        let all = submissions();
+        let ids: Vec<String> = (0..all.len()).map(|n| format!("req-{}", 100 + n)).collect();
+        for (n, (id, (_, body, _))) in ids.iter().zip(&all).enumerate() {
+            w.ask(n % nodes, id, sent(body, id));
+            w.settle(0.1, |_| false);
+        }
+        w.settle(1.0, |_| false);
+        let got: Vec<_> = ids.iter().zip(&all).map(|(id, a)| (&a.0, w.statuses[id].clone())).collect();
+        let wanted: Vec<_> = all.iter().map(|a| (&a.0, vec![a.2])).collect();
+        assert_eq!(got, wanted);
+        assert_eq!(w.broken, None);
+    }
+}
+
+/// Whatever comes under the id of a known job, at any node, is told how that job is: while it
+/// waits, once it is done and once it is cancelled, and when the types that it could run on are gone.
+#[test]
+fn what_is_known_is_told_whatever_it_is_submitted_as() {
+    for (nodes, end) in [(3, JobStatus::Pending), (5, JobStatus::Done), (3, JobStatus::Cancelled)] {
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false });
+        w.settle(1.0, |_| false);
+        w.ask(0, "req-0", sent(&body(), "req-0"));
+        w.settle(1.0, |_| false);
+        if end.is_final() {
+            let Some(Value::Job(j)) = w.stored(job_key("req-0")) else { panic!("it is not stored") };
+            let over = Value::Over(OverRecord { status: end, done: j.done, at: j.at });
+            let changes = vec![Change::Delete { key: job_key("req-0") }, put(over_key("req-0"), over)];
+            w.store.execute(w.now, &StateOp::Commit(Txn { conditions: vec![], changes }));
+            w.cancel_asked.insert("req-0".into());
+        }
+        let other = Value::Types(vec![MachineType { name: "other".into(), ..big() }]);
+        let changes = vec![put(TYPES_KEY.into(), other)];
+        w.store.execute(w.now, &StateOp::Commit(Txn { conditions: vec![], changes }));
+        w.settle(4.0, |_| false);
+        let Request::Submit(whole) = sent(&body(), "req-0") else { return };
+        let mut all: Vec<Request> = submissions().iter().map(|(_, body, _)| sent(body, "req-0")).collect();
+        all.push(Request::Submit([&whole[..], &[0xc0]].concat()));
+        let count = all.len() + 1;
+        for (n, request) in all.into_iter().enumerate() {
+            w.ask(n % nodes, "req-0", request);
+            w.settle(0.1, |_| false);
+        }
+        w.ask(0, "req-1", sent(&body(), "req-1"));
+        w.settle(1.0, |_| false);
+        assert_eq!(w.statuses["req-1"], [422], "no new job may ask for such a type");
+        let statuses = &w.statuses["req-0"];
+        assert_eq!((statuses.len(), statuses[0]), (count, 201));
+        assert!(statuses[1..].iter().all(|s| *s == 200), "{end:?}: {statuses:?}");
+        assert_eq!(w.broken, None);
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -23,6 +23,14 @@
 /// Decodes one map. A bare sequence is refused although serde would take it
 /// for a struct: the protocol knows only maps.
 pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Malformed> {
+    match first_map(body)? {
+        (value, []) => Ok(value),
+        _ => Err(Malformed::Trailing),
+    }
+}
+
+/// Decodes the map that `body` begins with, and returns what follows it.
+pub fn first_map<T: DeserializeOwned>(body: &[u8]) -> Result<(T, &[u8]), Malformed> {
     match body.first() {
         Some(0x80..=0x8f | 0xde | 0xdf) => {}
         _ => return Err(Malformed::NotAMap),
@@ -31,9 +39,5 @@
     let mut reader = rmp_serde::Deserializer::new(&mut rest);
     let value = T::deserialize(&mut reader).map_err(|e| Malformed::Field(e.to_string()))?;
     drop(reader);
-    if rest.is_empty() {
-        Ok(value)
-    } else {
-        Err(Malformed::Trailing)
-    }
+    Ok((value, rest))
 }
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -1,6 +1,7 @@
 //! What users send and are told.
 
 use crate::Malformed;
+use serde::de::IntoDeserializer;
 use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::BTreeSet;
 
@@ -37,8 +38,9 @@
     pub class: String,
     #[serde(rename = "crew")]
     pub team: String,
+    #[serde(deserialize_with = "word")]
     pub shape: Shape,
-    #[serde(rename = "urgency")]
+    #[serde(rename = "urgency", deserialize_with = "word")]
     pub priority: Priority,
     #[serde(rename = "legs")]
     pub tasks: u32,
@@ -73,6 +75,12 @@
     pub awaits: Vec<String>,
 }
 
+/// One of the words that stand for `T`. (By itself serde takes a word's number as well: jobs
+/// were once accepted whose shape was 0.)
+fn word<'de, D: Deserializer<'de>, T: Deserialize<'de>>(d: D) -> Result<T, D::Error> {
+    T::deserialize(String::deserialize(d)?.into_deserializer())
+}
+
 /// A list of names, or null for none; a name that comes again counts once.
 fn distinct<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<String>, D::Error> {
     let names = Option::<Vec<String>>::deserialize(d)?.unwrap_or_default();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod state;
 pub mod worker;
 
-pub use codec::{decode, encode, Malformed};
+pub use codec::{decode, encode, first_map, Malformed};
 
 /// Largest request body a receiver has to take, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
