--- a/crates/report/src/day.rs
+++ b/crates/report/src/day.rs
@@ -58,6 +58,15 @@
     1.0
 }
 
+fn above_0(key: &'static str, value: Option<f64>) -> Result<Option<f64>, DayError> {
+    match value {
+        Some(x) if !(x > 0.0 && x.is_finite()) => {
+            Err(DayError::Unknown { key, value: x.to_string(), known: "say a number above 0" })
+        }
+        _ => Ok(value),
+    }
+}
+
 /// A day of a site: its name, the site it is played on and the file's text.
 #[derive(Debug)]
 pub struct Made {
@@ -74,17 +83,14 @@
     /// The site as the day has it.
     fn site(&self, site: &Site) -> Result<Site, DayError> {
         let mut site = site.clone();
-        let changes: [(&'static str, Option<f64>, fn(&mut Site, f64)); 3] = [
-            ("limits", self.limits, Site::scale_limits),
-            ("boot_s", self.boot_s, Site::boot_within),
-            ("single_tasks_per_s", self.single_tasks_per_s, Site::single_tasks),
-        ];
-        for (key, value, change) in changes {
-            let Some(x) = value else { continue };
-            if !(x > 0.0 && x.is_finite()) {
-                return Err(DayError::Unknown { key, value: x.to_string(), known: "say a number above 0" });
-            }
-            change(&mut site, x);
+        if let Some(x) = above_0("limits", self.limits)? {
+            site.scale_limits(x);
+        }
+        if let Some(x) = above_0("boot_s", self.boot_s)? {
+            site.boot_within(x);
+        }
+        if let Some(x) = above_0("single_tasks_per_s", self.single_tasks_per_s)? {
+            site.single_tasks(x);
         }
         Ok(site)
     }
