A report that the answer to a direct command overtook renews its lease in the books too

Cause: reports and answers to direct commands share one order. A machine that resumes carries out a late command and reports at once; where the command's answer came first, the report was answered, which renewed the lease, and counted for nothing. So a lease was taken for over early, and what ran on there was started elsewhere: two machines ran one task. The same with a report that a gateway had answered, and whose content the leader had to ask for. Change: a machine's order of its own reports is kept apart, and the date of the last answer rests on that.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -32,6 +32,9 @@
     pub since: Time,
     /// The worker's newest (session, seq), and the token it had seen then.
     pub newest: (u64, u64),
+    /// The same of what it sent by itself, which alone renews its lease: the answer to a direct
+    /// command may come before the report that was made before it.
+    newest_beat: (u64, u64),
     pub token_seen: u64,
     /// The report that its tasks here are of, in full.
     pub content: (u64, u64),
@@ -85,6 +88,7 @@
             life: Life::Booting,
             since: now,
             newest: (0, 0),
+            newest_beat: (0, 0),
             token_seen: 0,
             content: (0, 0),
             content_token: 0,
@@ -110,6 +114,17 @@
         }
     }
 
+    /// A report of that place in its worker's order came to a node at `came`: its lease may have
+    /// been renewed, unless it is one that came before (`order`). (Reports that the answer to
+    /// a direct command had overtaken once counted for nothing, and what ran on there was
+    /// started elsewhere before the lease had ended.)
+    pub fn beat(&mut self, place: (u64, u64), came: Time, order: bool) {
+        if place > self.newest_beat || !order {
+            self.newest_beat = self.newest_beat.max(place);
+            self.answered = self.answered.max(came);
+        }
+    }
+
     /// Takes what a newer report says, which came to a node at `came`.
     pub fn update(&mut self, r: &Report, now: Time, came: Time) {
         self.newest = (r.session, r.seq);
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -145,7 +145,11 @@
         let Role::Leader(l) = &mut self.role else { return };
         let (token, held, place) = (l.token, entry.held, (entry.session, entry.seq));
         let machine = entry.machine.clone();
-        let known = l.machines.get_mut(&machine);
+        let mut known = l.machines.get_mut(&machine);
+        if let Some(m) = &mut known {
+            // Its node may have answered it, whatever is known of what it says.
+            m.beat(place, came, true);
+        }
         // The report of which this one says the same, if it does.
         let base = entry.content.is_none().then_some((entry.session, entry.same_as));
         let report = match (base, known) {
@@ -153,7 +157,7 @@
             // Most of all: its tasks go on as they did.
             (Some(base), Some(m)) if m.content == base && !held && m.calm(now, close) => {
                 if place > m.newest {
-                    (m.newest, m.answered) = (place, m.answered.max(came));
+                    m.newest = place;
                     m.reported_at(came);
                     m.stays = false;
                     l.relays.hearing.heard(came, &source.0, &m.zone, gap);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -114,7 +114,7 @@
     /// Takes in a report that came here or to another node at `came`; false if it
     /// is not newer than the last, or speaks of a machine that is gone.
     pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>, came: Time) -> bool {
-        let (now, silent_s) = (self.now, self.d.silent_s);
+        let (now, silent_s, order) = (self.now, self.d.silent_s, self.guards.order);
         let report_s = self.settings.params.workers.report_s;
         let Role::Leader(l) = &mut self.role else { return false };
         let id = &report.machine;
@@ -142,9 +142,7 @@
         }
         // Its lease runs from when it sent the report, which was earlier. (A copy of one
         // that was taken before says nothing of a later answer.)
-        if (report.session, report.seq) > m.newest || !self.guards.order {
-            m.answered = m.answered.max(came);
-        }
+        m.beat((report.session, report.seq), came, order);
         if !self.take_report(report, true, came) {
             return false;
         }
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -3,10 +3,69 @@
 
 mod common;
 
+#[path = "common/by_hand.rs"]
+mod by_hand;
+
+use anisecroft_testkit::state::Store;
 use anisecroft_testkit::{Fault, Setup, Sim};
+use by_hand::*;
 use common::*;
 use wire::job::*;
 
+/// A job of one long task that fits a machine several times.
+fn one(id: &str) -> JobSpec {
+    JobSpec { id: id.into(), tasks: 1, cores: 1.0, accelerators: 0.5, ..long_array() }
+}
+
+/// A leader with one machine on which `jobs` run.
+fn busy(jobs: &[JobSpec]) -> (ByHand, Hand) {
+    let mut w = ByHand::leading(Store::default(), &["vm-1"], 0.0);
+    let mut hand = Hand::new("vm-1");
+    jobs.iter().for_each(|j| w.submit(j));
+    w.settle(&mut hand, &jobs.iter().map(|j| j.id.as_str()).collect::<Vec<_>>());
+    (w, hand)
+}
+
+/// A machine resumes: it carries out a late direct command and reports, and the answer to the
+/// command comes first. Its lease was renewed all the same, and what still runs there was
+/// once started elsewhere before it had ended.
+#[test]
+fn a_report_that_a_direct_answer_overtook_renews_the_lease() {
+    let (mut w, mut hung) = busy(&[one("req-1"), one("req-2")]);
+    let mut others = ["vm-3", "vm-4"].map(Hand::new);
+    let mut well = Hand::new("vm-2");
+    w.listed.extend(["vm-2", "vm-3", "vm-4"].map(String::from));
+    w.run(3.0);
+    w.turn(&mut hung);
+    w.cancel("req-2");
+    let (_, call, stop) = w.told(&hung)[0].clone();
+    // It hangs for a while; the others go on.
+    for _ in 0..4 {
+        for hand in others.iter_mut().chain([&mut well]) {
+            w.deliver(&hand.next());
+        }
+        w.run(2.0);
+    }
+    let report = hung.next();
+    w.take_direct(&mut hung, call, &stop);
+    let renewed = w.now;
+    let id = w.deliver(&report);
+    w.run_until(4.0, |w| w.answers.contains_key(&id));
+    assert!(w.answer(id).is_some(), "not answered: {:?}", w.answers.get(&id));
+    assert!(hung.has("req-1") && !hung.has("req-2"));
+    // Then most are silent at once, and none can be given back.
+    w.cloud_down = true;
+    let mut moved = None;
+    while moved.is_none() && w.now < renewed + 60.0 {
+        let told = w.turn(&mut well);
+        moved = launches(&told, "req-1").then_some(w.now);
+        w.run(0.5);
+    }
+    let lease_s = settings().params.workers.lease_s;
+    let after = moved.expect("its place is kept for ever") - renewed;
+    assert!(after > lease_s, "started elsewhere {after} s after the answer, the lease is {lease_s} s");
+}
+
 /// Work for three times what each team may use, in small arrays.
 fn full(seed: u64, nodes: usize) -> Setup {
     let s = setup(seed, vec![]);
--- /dev/null
+++ b/crates/testkit/tests/common/by_hand.rs
@@ -0,0 +1,302 @@
+//! One controller whose workers are the test's own: every report, copy, answer and direct command
+//! goes through its hands. The state service and the cloud answer at once.
+
+#![allow(dead_code)]
+
+use anisecroft_testkit::state::Store;
+use engine::*;
+use settings::Operator;
+use std::collections::BTreeMap;
+use wire::cloud::*;
+use wire::job::*;
+use wire::worker::*;
+
+pub struct ByHand {
+    pub core: Core,
+    pub store: Store,
+    pub now: f64,
+    /// Machines that the cloud lists.
+    pub listed: Vec<String>,
+    pub cloud_down: bool,
+    /// The records are not read while this holds.
+    pub lists_down: bool,
+    /// Reads of single keys that are served yet, if not all.
+    pub reads_left: Option<u32>,
+    pub answers: BTreeMap<RequestId, Answer>,
+    /// Direct commands, with when and to which address.
+    pub direct: Vec<(f64, CallId, String, DirectCommands)>,
+    watches: Vec<(f64, CallId, StateOp)>,
+    last_request: RequestId,
+}
+
+/// A worker as the test holds it.
+#[derive(Clone)]
+pub struct Hand {
+    pub report: Report,
+}
+
+impl Hand {
+    pub fn new(machine: &str) -> Self {
+        let report = Report {
+            machine: machine.into(),
+            addr: addr_of(machine),
+            machine_type: "big".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        Hand { report }
+    }
+
+    /// Its next report, or its next answer to a direct command.
+    pub fn next(&mut self) -> Report {
+        self.report.seq += 1;
+        self.report.clone()
+    }
+
+    /// Carries out what it is told; launched tasks run at once.
+    pub fn obey(&mut self, answer: &ReportAnswer) {
+        self.report.token = self.report.token.max(answer.token);
+        self.carry_out(&answer.commands);
+    }
+
+    pub fn carry_out(&mut self, commands: &[Command]) {
+        for c in commands {
+            let tasks = &mut self.report.tasks;
+            let known = tasks.iter_mut().find(|t| t.task == c.task && t.attempt == c.attempt);
+            match (c.op, known) {
+                (Verb::Start, None) => tasks.push(TaskReport {
+                    task: c.task.clone(),
+                    attempt: c.attempt,
+                    state: TaskState::Running,
+                    cause: None,
+                    saved: None,
+                }),
+                (Verb::Stop, Some(t)) if t.state != TaskState::Exited => {
+                    (t.state, t.cause) = (TaskState::Exited, Some(ExitCause::Stopped));
+                }
+                (Verb::Forget, Some(_)) => tasks.retain(|t| t.task != c.task),
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether `job` has a task there that has not exited.
+    pub fn has(&self, job: &str) -> bool {
+        let live = self.report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        live.filter_map(|t| split_task(&t.task)).any(|(id, _)| id == job)
+    }
+}
+
+pub fn addr_of(machine: &str) -> String {
+    format!("{machine}:9000")
+}
+
+/// What of `commands` is to stop a task of `job`.
+pub fn stops<'a>(commands: &'a [Command], job: &'a str) -> impl Iterator<Item = &'a Command> {
+    let of = move |c: &&Command| c.op == Verb::Stop && split_task(&c.task).is_some_and(|(id, _)| id == job);
+    commands.iter().filter(of)
+}
+
+/// Whether `commands` launch a task of `job`.
+pub fn launches(commands: &[Command], job: &str) -> bool {
+    let starts = commands.iter().filter(|c| c.op == Verb::Start);
+    starts.filter_map(|c| split_task(&c.task)).any(|(id, _)| id == job)
+}
+
+impl ByHand {
+    /// It leads and has read what `store` holds; the cloud lists `listed`.
+    pub fn leading(store: Store, listed: &[&str], now: f64) -> Self {
+        let mut w = ByHand::starting(store, listed, now);
+        w.run_until(20.0, |w| w.core.has_loaded());
+        w.run(1.0);
+        w
+    }
+
+    /// It has just been started.
+    pub fn starting(store: Store, listed: &[&str], now: f64) -> Self {
+        let mut s = super::common::settings();
+        s.peers.clear();
+        ByHand {
+            // No machine goes back for being idle.
+            core: Core::new(s, Operator { idle_hold: 1000.0, ..Operator::default() }, 1),
+            store,
+            now,
+            listed: listed.iter().map(|m| (*m).to_string()).collect(),
+            cloud_down: false,
+            lists_down: false,
+            reads_left: None,
+            answers: BTreeMap::new(),
+            direct: Vec::new(),
+            watches: Vec::new(),
+            last_request: 0,
+        }
+    }
+
+    /// The next leader begins after this one, whose lease has ended.
+    pub fn next_leader(mut self) -> Self {
+        let listed = self.listed.clone();
+        self.now += 30.0;
+        self.store.expire(self.now);
+        let listed: Vec<&str> = listed.iter().map(String::as_str).collect();
+        ByHand::leading(self.store, &listed, self.now)
+    }
+
+    fn list(&self) -> MachineList {
+        let machine = |id: &String| ListedMachine {
+            id: id.clone(),
+            addr: Some(addr_of(id)),
+            machine_type: "big".into(),
+            zone: "a".into(),
+            spot: false,
+            state: MachineState::Running,
+            age_s: 500.0,
+        };
+        MachineList { machines: self.listed.iter().map(machine).collect(), more: false }
+    }
+
+    fn cloud(&mut self, op: &CloudOp) -> CloudReply {
+        if self.cloud_down {
+            return CloudReply::Refused;
+        }
+        match op {
+            CloudOp::Types => CloudReply::Types(MachineTypes { types: super::common::types() }),
+            CloudOp::List { .. } => CloudReply::List(self.list()),
+            CloudOp::Rent(_) => CloudReply::NoCapacity,
+            CloudOp::Delete(names) => {
+                self.listed.retain(|m| !names.contains(m));
+                CloudReply::Done
+            }
+        }
+    }
+
+    pub fn feed(&mut self, input: Input) {
+        for o in self.core.handle(self.now, 1e9 + self.now, input) {
+            match o {
+                Output::Answer(id, answer) => {
+                    self.answers.insert(id, answer);
+                }
+                Output::Worker(call, addr, body) => self.direct.push((self.now, call, addr, body)),
+                Output::Cloud(call, op) => {
+                    let reply = self.cloud(&op);
+                    self.feed(Input::Cloud(call, reply));
+                }
+                Output::State(call, op) => self.state(call, op),
+                Output::Relay(..) | Output::RelayReply(..) => {}
+            }
+        }
+    }
+
+    fn state(&mut self, call: CallId, op: StateOp) {
+        if self.lists_down && matches!(op, StateOp::List { .. }) {
+            return self.feed(Input::State(call, StateReply::Refused));
+        }
+        if matches!(op, StateOp::Get(_)) {
+            match &mut self.reads_left {
+                Some(0) => return self.feed(Input::State(call, StateReply::Refused)),
+                left => *left = left.map(|n| n - 1),
+            }
+        }
+        match (self.store.execute(self.now, &op), &op) {
+            (Some(reply), _) => self.feed(Input::State(call, reply)),
+            (None, StateOp::Watch { wait_ms, .. }) => {
+                self.watches.push((self.now + *wait_ms as f64 / 1000.0, call, op));
+            }
+            (None, _) => {}
+        }
+    }
+
+    pub fn run(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        self.run_until(seconds, |w| w.now >= end - 1e-9);
+    }
+
+    /// Until `done` holds, at most for so long. Whether it does.
+    pub fn run_until(&mut self, seconds: f64, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + seconds;
+        while self.now < end && !done(self) {
+            self.now += 0.05;
+            self.store.expire(self.now);
+            for (until, call, op) in std::mem::take(&mut self.watches) {
+                let quiet = (self.now >= until).then(|| self.store.quiet());
+                match self.store.execute(self.now, &op).or(quiet) {
+                    Some(reply) => self.feed(Input::State(call, reply)),
+                    None => self.watches.push((until, call, op)),
+                }
+            }
+            self.feed(Input::Tick);
+        }
+        done(self)
+    }
+
+    pub fn ask(&mut self, request: Request) -> RequestId {
+        self.last_request += 1;
+        self.feed(Input::Request(self.last_request, request));
+        self.last_request
+    }
+
+    /// Asks, and waits for the answer.
+    pub fn status(&mut self, request: Request) -> u16 {
+        let id = self.ask(request);
+        self.run_until(6.0, |w| w.answers.contains_key(&id));
+        self.answers.get(&id).map_or(0, |a| a.status)
+    }
+
+    pub fn submit(&mut self, spec: &JobSpec) {
+        assert_eq!(self.status(Request::Submit(wire::encode(spec))), 201);
+    }
+
+    pub fn cancel(&mut self, job: &str) {
+        assert_eq!(self.status(Request::Cancel(job.into())), 200);
+    }
+
+    pub fn deliver(&mut self, report: &Report) -> RequestId {
+        self.ask(Request::Report(wire::encode(report)))
+    }
+
+    /// The 200 that a report was answered with by now.
+    pub fn answer(&self, id: RequestId) -> Option<ReportAnswer> {
+        let answer = self.answers.get(&id).filter(|a| a.status == 200)?;
+        wire::decode(&answer.body).ok()
+    }
+
+    /// `hand` reports, waits and obeys; what it was told.
+    pub fn turn(&mut self, hand: &mut Hand) -> Vec<Command> {
+        let id = self.deliver(&hand.next());
+        self.run_until(4.0, |w| w.answers.contains_key(&id));
+        let Some(answer) = self.answer(id) else { return Vec::new() };
+        hand.obey(&answer);
+        answer.commands
+    }
+
+    /// `hand` has what it is to run, and the leader knows.
+    pub fn settle(&mut self, hand: &mut Hand, jobs: &[&str]) {
+        for _ in 0..12 {
+            self.turn(hand);
+            self.run(0.5);
+        }
+        assert!(jobs.iter().all(|j| hand.has(j)), "{jobs:?} not launched: {:?}", hand.report.tasks);
+        self.direct.clear();
+    }
+
+    /// Direct commands to `hand` so far.
+    pub fn told(&self, hand: &Hand) -> Vec<(f64, CallId, DirectCommands)> {
+        let to = self.direct.iter().filter(|d| d.2 == hand.report.addr);
+        to.map(|d| (d.0, d.1, d.3.clone())).collect()
+    }
+
+    /// `hand` takes a direct command and answers it.
+    pub fn take_direct(&mut self, hand: &mut Hand, call: CallId, body: &DirectCommands) {
+        let executed = body.token >= hand.report.token && body.session == hand.report.session;
+        hand.report.token = hand.report.token.max(body.token);
+        if executed {
+            hand.carry_out(&body.commands);
+        }
+        let report = Box::new(hand.next());
+        self.feed(Input::Worker(call, WorkerReply::Report { executed, report }));
+    }
+}
