A report that was overtaken is told to stop, and no copy takes a live report's place

Cause: a report no newer than the last was taken for one that its sender has given up, and answered with 200 and no word. Where a copy of each report comes first, the stops went to the copy, and each report renewed the lease: a cancelled task went on for ever, while direct commands were lost. While a new leader reads its records, a late copy took the place of the report that waited, whose worker was sent on. Change: it is told what there is to tell. Of the reports that wait for the records the newest is kept, by their order.

--- a/crates/core/src/early.rs
+++ b/crates/core/src/early.rs
@@ -20,8 +20,14 @@
 }
 
 impl Early {
-    /// Keeps a report until `until`; returns the request of an older one that waited.
+    /// Keeps a report until `until`, of each machine the newest; returns the request of an older
+    /// one. (A late copy once took the place of the report whose worker waited.)
     pub fn hold(&mut self, request: RequestId, report: &Report, until: Time) -> Option<RequestId> {
+        let place = (report.session, report.seq);
+        let newer = |w: &Waiting| (w.report.session, w.report.seq) > place;
+        if self.waiting.get(&report.machine).is_some_and(newer) {
+            return Some(request);
+        }
         if self.waiting.is_empty() || until < self.first_end {
             self.first_end = until;
         }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -85,8 +85,10 @@
             return self.answer(req, 200, wire::encode(&answer));
         }
         if !self.receive(report, None, now) {
-            // Late: its sender has given it up, and its tasks are as old as it.
-            let answer = ReportAnswer { token, commands: Vec::new() };
+            // Late, or overtaken by a copy of it or by the answer to a direct command. Its worker
+            // may wait yet, and the answer renews its lease: it says what there is to tell.
+            // (A copy that came first once took the stops with it, with every report.)
+            let answer = self.commands_for(&report.machine);
             return self.answer(req, 200, wire::encode(&answer));
         }
         if let Some(node) = self.better_for(report) {
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -66,6 +66,27 @@
     assert!(after > lease_s, "started elsewhere {after} s after the answer, the lease is {lease_s} s");
 }
 
+/// A copy of each report comes before the report itself, so that the answer to the copy, with the
+/// stop in it, goes nowhere. The report was once answered without a word, which renewed
+/// the lease for ever.
+#[test]
+fn a_report_whose_copy_came_first_is_told_to_stop() {
+    let (mut w, mut hand) = busy(&[one("req-1"), one("req-2")]);
+    w.cancel("req-2");
+    for _ in 0..4 {
+        let report = hand.next();
+        w.deliver(&report);
+        w.run(0.05);
+        let id = w.deliver(&report);
+        w.run_until(4.0, |w| w.answers.contains_key(&id));
+        if let Some(answer) = w.answer(id) {
+            hand.obey(&answer);
+        }
+        w.run(2.0);
+    }
+    assert!(hand.has("req-1") && !hand.has("req-2"), "{:?}", hand.report.tasks);
+}
+
 /// Work for three times what each team may use, in small arrays.
 fn full(seed: u64, nodes: usize) -> Setup {
     let s = setup(seed, vec![]);
--- a/crates/testkit/tests/hand_over.rs
+++ b/crates/testkit/tests/hand_over.rs
@@ -2,11 +2,34 @@
 
 mod common;
 
+#[path = "common/by_hand.rs"]
+mod by_hand;
+
+use anisecroft_testkit::state::Store;
 use anisecroft_testkit::{Fault, Setup, Sim};
+use by_hand::*;
 use common::*;
 use engine::record::LEADER_KEY;
 use wire::job::JobSpec;
 
+/// An old copy of a report comes to a new leader that reads its records yet, after a live one: it
+/// is the live one's answer that a worker waits for.
+#[test]
+fn a_copy_does_not_take_an_early_report_s_place() {
+    let mut w = ByHand::starting(Store::default(), &["vm-1"], 0.0);
+    w.lists_down = true;
+    assert!(w.run_until(10.0, |w| w.core.is_leader()));
+    let mut hand = Hand::new("vm-1");
+    let old = hand.next();
+    (0..5).for_each(|_| drop(hand.next()));
+    let live = w.deliver(&hand.next());
+    w.deliver(&old);
+    w.run(0.2);
+    w.lists_down = false;
+    w.run(4.0);
+    assert!(w.answer(live).is_some(), "{:?}", w.answers.get(&live));
+}
+
 /// Around when each run's cancellations fall, and for how long before and after.
 const CHANGE: f64 = 60.0;
 const BEFORE: f64 = 6.0;
