Stops go straight to their machines until there is proof

Cause: a stop was sent straight to its machine once, whether it came there or not, and only where a report had shown the task. Nothing followed a launch on its way until the next report. A mute machine, which direct commands reach, was told nothing by the next leader: it had not heard it, and so knew no session. The answer to a direct command counted as a hearing: a mute machine was given work, which never began, for as long as something was cancelled there. A leader refused for a lower token went on as one. Change: core/stops.rs. What was launched and not seen is told at once; what has no proof is told again after a worker's tour, then after twice as long each time, up to a lease, with half of the direct calls. A machine that a new leader has not heard by then is asked with no session: it refuses and reports. Only its own reports make a machine heard.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -139,10 +139,8 @@
     /// Which tasks were placed on a machine. An entry may be outdated; looking
     /// there is what removes it (`tasks_on`).
     on: HashMap<String, BTreeSet<(String, u32)>>,
-    /// Jobs with tasks that are to be stopped and may not know it yet.
-    pub stops: BTreeSet<String>,
-    /// Machines with such tasks, which only the leader may answer.
-    pub stopping: BTreeSet<String>,
+    /// What is to be stopped and may not know it yet.
+    pub stops: crate::stops::Stops,
     /// When the next line on tasks and machines is due.
     summary_at: Time,
     /// Last look after machines, fleet and cloud.
@@ -208,8 +206,7 @@
             recheck: BTreeSet::new(),
             held_scan: now,
             on: HashMap::new(),
-            stops: BTreeSet::new(),
-            stopping: BTreeSet::new(),
+            stops: crate::stops::Stops::default(),
             summary_at: now,
             swept_at: now - 1.0,
             plan_dirty: true,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod polls;
 pub mod record;
 mod relaying;
+mod stops;
 mod unread;
 mod urgency;
 mod users;
@@ -190,6 +191,8 @@
     },
     Direct {
         token: u64,
+        machine: String,
+        session: u64,
     },
     Relay,
 }
@@ -437,8 +440,8 @@
                 }
             }
             Input::Worker(call, reply) => {
-                if let Some(Purpose::Direct { token }) = self.calls.remove(&call) {
-                    self.on_direct(token, reply);
+                if let Some(Purpose::Direct { token, machine, session }) = self.calls.remove(&call) {
+                    self.on_direct(token, &machine, session, reply);
                 }
             }
         }
@@ -594,8 +597,8 @@
         id
     }
 
-    pub(crate) fn direct(&mut self, token: u64, addr: &str, body: wire::worker::DirectCommands) {
-        let id = self.call_id(Purpose::Direct { token });
+    pub(crate) fn direct(&mut self, purpose: Purpose, addr: &str, body: wire::worker::DirectCommands) {
+        let id = self.call_id(purpose);
         self.out.push(Output::Worker(id, addr.to_string(), body));
     }
 
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -122,11 +122,21 @@
         if place > self.newest_beat || !order {
             self.newest_beat = self.newest_beat.max(place);
             self.answered = self.answered.max(came);
+            if self.heard.is_some() {
+                self.heard_at(came);
+            }
         }
     }
 
-    /// Takes what a newer report says, which came to a node at `came`.
-    pub fn update(&mut self, r: &Report, now: Time, came: Time) {
+    /// A report, that no command had asked for, came to a node at `came`. (The answers to
+    /// direct commands once counted too: a mute machine was given work for as long as
+    /// something was cancelled there now and then.)
+    pub fn heard_at(&mut self, came: Time) {
+        self.heard = later(self.heard, came);
+    }
+
+    /// Takes what a newer report says.
+    pub fn update(&mut self, r: &Report, now: Time) {
         self.newest = (r.session, r.seq);
         self.content = self.newest;
         self.content_token = r.token;
@@ -135,7 +145,6 @@
         self.zone.clone_from(&r.zone);
         self.spot = r.spot;
         self.token_seen = self.token_seen.max(r.token);
-        self.heard = later(self.heard, came);
         self.is_up(now);
         self.notice_until = r.notice_s.map(|s| now + s);
         self.tasks.clone_from(&r.tasks);
@@ -169,7 +178,7 @@
 
     /// A report that no command had asked for came to a node at `came`.
     pub fn reported_at(&mut self, came: Time) {
-        self.heard = later(self.heard, came);
+        self.heard_at(came);
         self.reported = later(self.reported, came);
     }
 
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -575,7 +575,7 @@
             let Some(p) = job.places.get_mut(task) else { continue };
             p.stopping = Some((now, grace));
             *told.entry(id).or_insert(0) += 1;
-            l.stops.insert(id.clone());
+            l.stops.look_at(id);
         }
         for (job, tasks) in told {
             info!(%job, tasks, "stopped for more urgent work");
--- a/crates/core/src/relaying.rs
+++ b/crates/core/src/relaying.rs
@@ -238,14 +238,6 @@
         }
     }
 
-    /// Looks again at machines where something is to be stopped.
-    pub(crate) fn attend_to_stops(&mut self) {
-        let Role::Leader(l) = &mut self.role else { return };
-        for machine in std::mem::take(&mut l.stopping) {
-            self.attend_to(&machine);
-        }
-    }
-
     /// Replies that are due to the gateways.
     pub(crate) fn relays_on_time(&mut self) {
         let now = self.now;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -5,9 +5,9 @@
 use crate::leader::Role;
 use crate::machine::{Life, Machine};
 use crate::relaying::{Room, Way};
-use crate::{Core, Purpose, RequestId, StateOp, Time, WorkerReply};
+use crate::stops::MOST_COMMANDS;
+use crate::{Core, Purpose, RequestId, StateOp, Time};
 use membership::Relays;
-use std::collections::BTreeMap;
 use tracing::{info, warn};
 use wire::job::Shape;
 use wire::worker::*;
@@ -175,22 +175,11 @@
         }
     }
 
-    pub(crate) fn on_direct(&mut self, token: u64, r: WorkerReply) {
-        if self.lead(token).is_none() {
-            return;
-        }
-        if let WorkerReply::Report { report, .. } = r {
-            if report.token <= token {
-                self.take_report(&report, false, self.now);
-            }
-        }
-    }
-
     /// Draws what a report proves; false if it is not newer than the last.
     /// `beat` is false for the answer to a direct command: that one may have
     /// been made while the answer to a report, with a launch in it, was still
     /// on its way, so what it lacks may yet start. `came`: when a node got it.
-    fn take_report(&mut self, report: &Report, beat: bool, came: Time) -> bool {
+    pub(crate) fn take_report(&mut self, report: &Report, beat: bool, came: Time) -> bool {
         let (now, d) = (self.now, self.d);
         let Role::Leader(l) = &mut self.role else { return false };
         let token = l.token;
@@ -212,7 +201,10 @@
         // Its tasks ended with the session before, and what was launched in answers to that
         // one's reports is never carried out.
         let anew = beat && self.guards.ears && before > 0 && report.session > before;
-        m.update(report, now, came);
+        m.update(report, now);
+        if beat {
+            m.heard_at(came);
+        }
         if m.notice_until.is_some() && !noticed {
             info!(machine = %report.machine, notice_s = report.notice_s, "spot notice");
             l.plan_dirty = true;
@@ -467,45 +459,6 @@
         }
     }
 
-    /// Tasks of job `id` may be newly under a stop: `send_stops` looks there.
-    pub(crate) fn stop_now(&mut self, id: &str) {
-        if let Role::Leader(l) = &mut self.role {
-            l.stops.insert(id.to_string());
-        }
-    }
-
-    /// Sends new stops straight to the machines, each machine's in one call; the
-    /// answers to reports repeat them. (One call a task, and all of a job's again
-    /// for every task, once opened thousands of connections within seconds.)
-    pub(crate) fn send_stops(&mut self) {
-        let Role::Leader(l) = &mut self.role else { return };
-        let token = l.token;
-        let mut orders: BTreeMap<String, Vec<Command>> = BTreeMap::new();
-        for id in std::mem::take(&mut l.stops) {
-            let Some(job) = l.jobs.get_mut(&id) else { continue };
-            for (&task, p) in job.places.iter_mut() {
-                let Some((_, grace)) = p.stopping else { continue };
-                l.stopping.insert(p.machine.clone());
-                if p.told || p.seen.is_none() {
-                    continue;
-                }
-                p.told = true;
-                orders.entry(p.machine.clone()).or_default().push(Command {
-                    op: Verb::Stop,
-                    task: task_name(&id, task),
-                    attempt: p.attempt,
-                    grace_s: Some(grace),
-                });
-            }
-        }
-        for (machine, commands) in orders {
-            let Role::Leader(l) = &self.role else { return };
-            let Some(m) = l.machines.get(&machine).filter(|m| m.heard.is_some()) else { continue };
-            let (addr, session) = (m.addr.clone(), m.newest.0);
-            self.direct(token, &addr, DirectCommands { token, session, commands });
-        }
-    }
-
     /// Answers held reports that have something to tell, or whose time is over.
     pub(crate) fn release_held(&mut self) {
         let now = self.now;
@@ -621,7 +574,7 @@
             }
         }
         // An answer is at most 64 KiB; what is left over goes with the next.
-        commands.truncate(400);
+        commands.truncate(MOST_COMMANDS);
         ReportAnswer { token: l.token, commands }
     }
 
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -10,6 +10,7 @@
 use anisecroft_testkit::{Fault, Setup, Sim};
 use by_hand::*;
 use common::*;
+use engine::*;
 use wire::job::*;
 
 /// A job of one long task that fits a machine several times.
@@ -87,6 +88,82 @@
     assert!(hand.has("req-1") && !hand.has("req-2"), "{:?}", hand.report.tasks);
 }
 
+/// A launch is on its way when its job is cancelled: the stop follows it at once, and not only
+/// when a report shows the task.
+#[test]
+fn a_launch_on_its_way_is_followed_by_a_stop() {
+    let (mut w, mut hand) = busy(&[one("req-1")]);
+    w.submit(&one("req-2"));
+    w.run(1.0);
+    let told = w.turn(&mut hand);
+    assert!(launches(&told, "req-2"), "{told:?}");
+    w.direct.clear();
+    w.cancel("req-2");
+    w.run(0.2);
+    let direct = w.told(&hand);
+    assert!(direct.iter().any(|d| stops(&d.2.commands, "req-2").count() > 0), "{direct:?}");
+}
+
+/// A stop that was sent straight to a machine and not answered is sent again, while no report
+/// could take it there.
+#[test]
+fn a_direct_stop_that_is_lost_is_sent_again() {
+    let (mut w, hand) = busy(&[one("req-1"), one("req-2")]);
+    w.cancel("req-2");
+    w.run(0.2);
+    let (_, call, _) = w.told(&hand)[0].clone();
+    w.run(2.0);
+    w.feed(Input::Worker(call, WorkerReply::Failed));
+    assert!(w.run_until(8.0, |w| w.told(&hand).len() > 1), "{:?}", w.told(&hand));
+}
+
+/// A mute machine whose tasks are cancelled under a new leader, which no report of it reaches:
+/// direct commands do, and end them.
+#[test]
+fn a_new_leader_stops_what_runs_on_a_mute_machine() {
+    let (mut w, mut hand) = busy(&[one("req-1"), one("req-2")]);
+    w.cancel("req-2");
+    w.cloud_down = true;
+    let mut w = w.next_leader();
+    let end = w.now + 12.0;
+    let mut taken = 0;
+    while w.now < end && hand.has("req-2") {
+        w.run(0.1);
+        let calls = w.told(&hand);
+        for (_, call, body) in calls.iter().skip(taken) {
+            w.take_direct(&mut hand, *call, body);
+        }
+        taken = calls.len();
+    }
+    assert!(!hand.has("req-2") && hand.has("req-1"), "{:?}", hand.report.tasks);
+}
+
+/// A machine that answers direct commands but whose reports arrive nowhere gets no work: no
+/// launch would reach it. Each cancellation there once made it heard anew.
+#[test]
+fn a_direct_answer_is_no_hearing() {
+    let names: Vec<String> = (1..=6).map(|n| format!("req-{n}")).collect();
+    let (mut w, mut hand) = busy(&names.iter().map(|n| one(n)).collect::<Vec<_>>());
+    let mut well = Hand::new("vm-2");
+    w.listed.push("vm-2".into());
+    w.cloud_down = true;
+    let mute_since = w.now;
+    for name in &names[1..5] {
+        w.cancel(name);
+        w.run(0.2);
+        for (_, call, body) in w.told(&hand) {
+            w.take_direct(&mut hand, call, &body);
+        }
+        w.direct.clear();
+        w.turn(&mut well);
+        w.run(3.0);
+    }
+    assert!(w.now - mute_since > derived().silent_s);
+    let usable: Vec<&str> = w.core.usable_machines().collect();
+    assert!(!usable.contains(&"vm-1"), "{usable:?}");
+    assert!(w.core.given_up().any(|m| m == "vm-1"));
+}
+
 /// Work for three times what each team may use, in small arrays.
 fn full(seed: u64, nodes: usize) -> Setup {
     let s = setup(seed, vec![]);
--- a/crates/testkit/tests/hand_over.rs
+++ b/crates/testkit/tests/hand_over.rs
@@ -30,6 +30,24 @@
     assert!(w.answer(live).is_some(), "{:?}", w.answers.get(&live));
 }
 
+/// A worker refuses a direct command since it has seen a higher token: whoever sent it leads no
+/// longer.
+#[test]
+fn a_refused_direct_command_tells_of_the_next_leader() {
+    let mut w = ByHand::leading(Store::default(), &["vm-1"], 0.0);
+    let mut hand = Hand::new("vm-1");
+    let job = JobSpec { id: "req-1".into(), tasks: 1, accelerators: 0.5, ..long_array() };
+    w.submit(&job);
+    w.settle(&mut hand, &["req-1"]);
+    w.cancel("req-1");
+    w.run(0.2);
+    let (_, call, body) = w.told(&hand)[0].clone();
+    hand.report.token += 100;
+    let before = w.core.token();
+    w.take_direct(&mut hand, call, &body);
+    assert_ne!(w.core.token(), before);
+}
+
 /// Around when each run's cancellations fall, and for how long before and after.
 const CHANGE: f64 = 60.0;
 const BEFORE: f64 = 6.0;
