What saves when its job is cancelled ends at once; no launch after the leader told an end

Cause: a task under a stop with time to save kept that time when its job was cancelled, and could outlast cancel_s: nobody has any use for what it saves. A leader that had told a cancellation itself launched tasks of that job until it had read the record back. Change: a cancelled job's tasks are under stops without time; ends that were told here count before they are read.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -974,8 +974,9 @@
         }
         let now = self.now;
         for p in job.places.values_mut() {
-            if p.stopping.is_none() {
-                p.stopping = Some((now, 0.0));
+            // Nobody has any use for what would be saved.
+            if p.stopping.is_none_or(|(_, grace)| grace > 0.0) {
+                (p.stopping, p.told) = (Some((now, 0.0)), false);
             }
         }
         if job.places.is_empty() && job.clean() {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -563,6 +563,10 @@
         if entitled {
             for (id, task) in l.tasks_on(machine) {
                 let Some(job) = l.jobs.get_mut(&id).filter(|j| !j.is_final()) else { continue };
+                // Its end was told here, and the leader has yet to read it.
+                if self.finals.get(&id).is_some() {
+                    continue;
+                }
                 let Some(p) = job.places.get_mut(&task) else { continue };
                 let due =
                     (p.committed || !write_ahead) && !p.inherited && p.seen.is_none() && p.stopping.is_none();
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -12,6 +12,7 @@
 use common::*;
 use engine::*;
 use wire::job::*;
+use wire::worker::*;
 
 /// A job of one long task that fits a machine several times.
 fn one(id: &str) -> JobSpec {
@@ -88,6 +89,43 @@
     assert!(hand.has("req-1") && !hand.has("req-2"), "{:?}", hand.report.tasks);
 }
 
+/// What is saving when its job is cancelled is ended at once, however long it would take.
+#[test]
+fn a_task_that_saves_ends_when_its_job_is_cancelled() {
+    let long = JobSpec { shape: Shape::Gang, checkpoint_s: 10.0, save_s: 60.0, ..one("req-1") };
+    let (mut w, mut hand) = busy(&[long]);
+    hand.report.notice_s = Some(200.0);
+    let told = w.deliver(&hand.next());
+    w.run(3.0);
+    let told = w.answer(told).map(|a| a.commands).unwrap_or_default();
+    assert!(stops(&told, "req-1").any(|c| c.grace_s > Some(60.0)), "{told:?}");
+    hand.report.tasks[0].state = TaskState::Saving;
+    w.direct.clear();
+    w.cancel("req-1");
+    w.run(0.2);
+    let direct = w.told(&hand);
+    let at_once = |c: &[Command]| stops(c, "req-1").any(|c| c.grace_s == Some(0.0));
+    assert!(direct.iter().any(|d| at_once(&d.2.commands)), "{direct:?}");
+    let id = w.deliver(&hand.next());
+    w.run(3.0);
+    assert!(at_once(&w.answer(id).expect("no answer").commands));
+}
+
+/// The leader has told that a job is cancelled and reads its record back: it launches nothing of it
+/// meanwhile.
+#[test]
+fn nothing_is_launched_once_the_leader_has_told_its_end() {
+    let (mut w, mut hand) = busy(&[one("req-1")]);
+    w.submit(&one("req-2"));
+    w.run(1.0);
+    assert_eq!(w.core.places(), 2);
+    w.reads_left = Some(1);
+    w.cancel("req-2");
+    assert_eq!((w.core.places(), w.reads_left), (2, Some(0)));
+    let told = w.turn(&mut hand);
+    assert!(!launches(&told, "req-2"), "{told:?}");
+}
+
 /// A launch is on its way when its job is cancelled: the stop follows it at once, and not only
 /// when a report shows the task.
 #[test]
