A machine that only reports speak of is there once it has taken this leader's answer

Cause: two reports half an interval apart passed for a worker that goes on. Copies that are kept for the next leader come one after another, too, and a machine long gone was given work. Change: a report that carries this leader's token shows it, as the list does. A new machine's second report has it.

--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -117,7 +117,6 @@
     /// is not newer than the last, or speaks of a machine that is gone.
     pub(crate) fn receive(&mut self, report: &Report, via: Option<membership::Source>, came: Time) -> bool {
         let (now, silent_s, order) = (self.now, self.d.silent_s, self.guards.order);
-        let report_s = self.settings.params.workers.report_s;
         let Role::Leader(l) = &mut self.role else { return false };
         let id = &report.machine;
         // Gateways that come back pass on all that they knew: what was given
@@ -132,8 +131,9 @@
             m.doubted = Some(came);
             m
         });
-        // Held reports come all at once, those of a worker that goes on do not.
-        m.doubted.take_if(|first| came - *first > report_s / 2.0);
+        // Whoever has taken an answer of this leader's is there. (Two copies that came one after
+        // the other once passed for a worker that goes on.)
+        m.doubted.take_if(|_| report.token == l.token);
         if m.heard.is_none() {
             info!(machine = %id, kind = %report.machine_type, zone = %report.zone, spot = report.spot,
                   took_s = now - m.since, "machine up");
--- a/crates/testkit/tests/hand_over.rs
+++ b/crates/testkit/tests/hand_over.rs
@@ -30,6 +30,24 @@
     assert!(w.answer(live).is_some(), "{:?}", w.answers.get(&live));
 }
 
+/// Copies of the reports of a machine that is gone come one after another to the next leader:
+/// none of them shows that it is there. A report with this leader's token does.
+#[test]
+fn copies_of_the_past_make_no_machine() {
+    let mut w = ByHand::leading(Store::default(), &[], 100.0);
+    let mut hand = Hand::new("vm-9");
+    let copies = [hand.next(), hand.next()];
+    for copy in &copies {
+        w.deliver(copy);
+        w.run(2.5);
+    }
+    assert_eq!(w.core.usable_machines().count(), 0);
+    w.turn(&mut hand);
+    w.run(0.5);
+    w.turn(&mut hand);
+    assert_eq!(w.core.usable_machines().collect::<Vec<_>>(), ["vm-9"]);
+}
+
 /// A worker refuses a direct command since it has seen a higher token: whoever sent it leads no
 /// longer.
 #[test]
