A new leader tells a machine what to stop as soon as it knows its session

Cause: a new leader sent no stop before a machine reported; the first it heard might be a gateway's old report of a machine that hangs or is mute by then, and its tasks were told after a worker's tour only. Change: it is told at once when its session or address becomes known, with the session that its worker last had at this node before it led, if it was here.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -286,6 +286,7 @@
             if m.addr.is_empty() {
                 if let Some(a) = &item.addr {
                     m.addr.clone_from(a);
+                    l.stops.hurry(&item.id, now);
                 }
             }
             if item.state == MachineState::Running {
--- a/crates/core/src/stops.rs
+++ b/crates/core/src/stops.rs
@@ -69,8 +69,8 @@
         self.again.remove(machine);
     }
 
-    /// `machine` is told again at once.
-    fn hurry(&mut self, machine: &str, now: Time) {
+    /// `machine` is told again at once, if there is something.
+    pub fn hurry(&mut self, machine: &str, now: Time) {
         if let Some(a) = self.again.get_mut(machine) {
             (a.at, self.next) = (now, now);
         }
@@ -131,7 +131,9 @@
         }
         l.stops.told(machine, now, pause, longest);
         let Some(m) = l.machines.get(machine) else { return };
-        let (addr, session) = (m.addr.clone(), m.newest.0);
+        // Its worker may have reported here before this node led.
+        let before = self.workers_heard.get(machine).map_or(0, |(_, place)| place.0);
+        let (addr, session) = (m.addr.clone(), m.newest.0.max(before));
         // A new leader hears most machines soon. One that it does not is asked: it refuses what
         // names no session of its own, and reports.
         if addr.is_empty() || session == 0 && first {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -201,6 +201,10 @@
         // Its tasks ended with the session before, and what was launched in answers to that
         // one's reports is never carried out.
         let anew = beat && self.guards.ears && before > 0 && report.session > before;
+        if before == 0 {
+            // What is to be stopped there could not be told for want of its session.
+            l.stops.hurry(&report.machine, now);
+        }
         m.update(report, now);
         if beat {
             m.heard_at(came);
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -176,6 +176,35 @@
     assert!(!hand.has("req-2") && hand.has("req-1"), "{:?}", hand.report.tasks);
 }
 
+/// The first that a new leader hears of a machine may be old, and the machine hang or be mute: what is
+/// to be stopped there is told at once, not when it reports.
+#[test]
+fn a_new_leader_tells_a_machine_as_soon_as_it_knows_its_session() {
+    let (mut w, mut hand) = busy(&[one("req-1"), one("req-2")]);
+    w.cancel("req-2");
+    let copy = hand.next();
+    let mut w = w.next_leader();
+    assert!(w.told(&hand).iter().all(|(.., d)| d.session != 1), "{:?}", w.told(&hand));
+    w.deliver(&copy);
+    w.run(0.2);
+    assert!(w.told(&hand).iter().any(|(.., d)| d.session == 1), "{:?}", w.told(&hand));
+}
+
+/// The same where its worker reported to this node before it led, and no more.
+#[test]
+fn a_new_leader_knows_the_sessions_that_it_heard_before() {
+    let (mut w, mut hand) = busy(&[one("req-1"), one("req-2")]);
+    w.cancel("req-2");
+    let mut w = w.successor();
+    w.run(0.1);
+    let early = w.deliver(&hand.next());
+    // Nobody leads yet, and its worker is sent on.
+    assert!(w.run_until(4.0, |w| w.answers.contains_key(&early)) && !w.core.is_leader());
+    assert!(w.run_until(10.0, |w| w.core.has_loaded()));
+    w.run(0.2);
+    assert!(w.told(&hand).iter().any(|(.., d)| d.session == 1), "{:?}", w.told(&hand));
+}
+
 /// A machine that answers direct commands but whose reports arrive nowhere gets no work: no
 /// launch would reach it. Each cancellation there once made it heard anew.
 #[test]
--- a/crates/testkit/tests/common/by_hand.rs
+++ b/crates/testkit/tests/common/by_hand.rs
@@ -119,14 +119,20 @@
 
     /// It has just been started.
     pub fn starting(store: Store, listed: &[&str], now: f64) -> Self {
+        let listed = listed.iter().map(|m| (*m).to_string()).collect();
+        ByHand::node("n-0", store, listed, now)
+    }
+
+    fn node(name: &str, store: Store, listed: Vec<String>, now: f64) -> Self {
         let mut s = super::common::settings();
+        s.node = name.into();
         s.peers.clear();
         ByHand {
             // No machine goes back for being idle.
             core: Core::new(s, Operator { idle_hold: 1000.0, ..Operator::default() }, 1),
             store,
             now,
-            listed: listed.iter().map(|m| (*m).to_string()).collect(),
+            listed,
             cloud_down: false,
             lists_down: false,
             reads_left: None,
@@ -137,6 +143,11 @@
         }
     }
 
+    /// Another node, on what is stored, as this one ends.
+    pub fn successor(self) -> Self {
+        ByHand::node("n-9", self.store, self.listed, self.now)
+    }
+
     /// The next leader begins after this one, whose lease has ended.
     pub fn next_leader(mut self) -> Self {
         let listed = self.listed.clone();
