Users' transactions are read back, and sent again, as soon as they are overdue

Cause: a transaction without an answer was given up after 1.5 s. The user got 503 and asked again a second later, although it was stored all the time, or a second copy would have been.

Change: `hedge.rs` sends submissions, cancellations, parts and comparisons. Once an answer is overdue by what the service takes (`round_trip.rs`: RFC 6298's estimate, a tenth of the time-out at least), what it writes is read back; if that stands there, it is the answer. A missing record proves nothing, so the first copy is waited for on, and another one is sent, under the same conditions. At most a quarter of the node's reads and of its users' changes goes there, nothing while the service refuses, one look at a time while it has not answered anything.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod floors;
 pub mod io;
+mod hedge;
 mod job;
 mod kin;
 mod layout;
@@ -24,6 +25,7 @@
 pub mod record;
 mod relaying;
 mod unread;
+mod round_trip;
 mod urgency;
 mod users;
 mod versions;
@@ -182,6 +184,13 @@
         token: u64,
     },
     Rent {
+    /// A copy of a transaction that users wait for, and what it writes.
+    Hedged {
+        n: u64,
+    },
+    ReadBack {
+        n: u64,
+    },
         token: u64,
     },
     Delete {
@@ -202,6 +211,12 @@
 }
 
 const MOST_FINALS: usize = 20_000;
+/// A call on its way.
+pub(crate) struct Call {
+    sent: Time,
+    purpose: Purpose,
+}
+
 
 impl Finals {
     pub(crate) fn put(&mut self, id: &str, status: JobStatus, done: u32) {
@@ -292,7 +307,7 @@
     /// Time of day, in seconds.
     pub(crate) wall: f64,
     next_call: CallId,
-    pub(crate) calls: BTreeMap<CallId, Purpose>,
+    pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) out: Vec<Output>,
     pub(crate) role: Role,
     /// Leader as last read: node name and token.
@@ -318,6 +333,9 @@
     /// Since when the state service has refused or not answered every call.
     pub(crate) state_bad_since: Option<Time>,
     /// When each worker last reported here, whatever it was answered, and its session and
+    /// How long the state service takes, and users' transactions on their way to it.
+    pub(crate) round_trip: round_trip::RoundTrip,
+    pub(crate) hedges: hedge::Hedges,
     /// number then.
     pub(crate) workers_heard: BTreeMap<String, (Time, (u64, u64))>,
     /// The other controllers' views, with when they came.
@@ -355,6 +373,8 @@
             workers_here: 0,
             newcomers: 0,
             counted_at: 0.0,
+        let reads = settings.params.state.rps * 0.8 / nodes;
+        let writes = settings.params.state.write_rps * users::MOST_WRITES;
             last_token: 0,
             heard_token: 0,
             rng,
@@ -376,8 +396,10 @@
             polls: polls::Polls::default(),
             // Users' reads and writes at one node may take their share of
             // four fifths; the rest is for renewals, watches and the leader.
-            reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
-            writes: Budget::new(settings.params.state.write_rps * users::MOST_WRITES),
+            reads: Budget::new(reads),
+            writes: Budget::new(writes),
+            round_trip: round_trip::RoundTrip::default(),
+            hedges: hedge::Hedges::new(reads, writes),
             limits: limits::Limits::new(&settings.params.state),
             versions: versions::Versions::default(),
             parts_again: Vec::new(),
@@ -406,19 +428,14 @@
             Input::Tick => {}
             Input::Request(id, r) => self.on_request(id, r),
             Input::State(call, reply) => {
-                if let Some(p) = self.calls.remove(&call) {
-                    if matches!(reply, StateReply::Refused | StateReply::Unknown) {
-                        self.state_bad_since.get_or_insert(self.now);
-                    } else {
-                        self.state_ok_at = self.now;
-                        self.state_bad_since = None;
-                    }
-                    self.on_state(p, reply);
+                if let Some(c) = self.calls.remove(&call) {
+                    self.note_answer(&c, &reply);
+                    self.on_state(c.purpose, reply);
                 }
             }
             Input::Cloud(call, reply) => {
-                if let Some(p) = self.calls.remove(&call) {
-                    self.on_cloud(p, reply);
+                if let Some(c) = self.calls.remove(&call) {
+                    self.on_cloud(c.purpose, reply);
                 }
             }
             Input::Peer(view) => {
@@ -437,7 +454,8 @@
                 }
             }
             Input::Worker(call, reply) => {
-                if let Some(Purpose::Direct { token }) = self.calls.remove(&call) {
+                let purpose = self.calls.remove(&call).map(|c| c.purpose);
+                if let Some(Purpose::Direct { token }) = purpose {
                     self.on_direct(token, reply);
                 }
             }
@@ -457,6 +475,20 @@
         let serves = match &self.role {
             Role::Leader(l) => l.authority.renews(self.now),
             Role::Follower => self.gateway.serves(self.now),
+    /// The state service answered a call, or did not.
+    fn note_answer(&mut self, c: &Call, r: &StateReply) {
+        self.hedges.note(r);
+        if matches!(r, StateReply::Refused | StateReply::Unknown) {
+            self.state_bad_since.get_or_insert(self.now);
+            return;
+        }
+        (self.state_ok_at, self.state_bad_since) = (self.now, None);
+        // Watches wait for changes.
+        if !matches!(r, StateReply::Events(_)) {
+            self.round_trip.note(self.now - c.sent);
+        }
+    }
+
         };
         wire::peer::View {
             node: self.settings.node.clone(),
@@ -506,6 +538,16 @@
 
     fn machines(&self) -> impl Iterator<Item = &machine::Machine> {
         let lead = match &self.role {
+        let usual = self.usual_wake_s();
+        // What is overdue is noticed soon after it is.
+        if self.hedges.waits() {
+            usual.min(self.d.overdue_s / 3.0)
+        } else {
+            usual
+        }
+    }
+
+    fn usual_wake_s(&self) -> f64 {
             Role::Leader(l) => Some(l),
             Role::Follower => None,
         };
@@ -578,7 +620,7 @@
     pub(crate) fn call_id(&mut self, purpose: Purpose) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
-        self.calls.insert(id, purpose);
+        self.calls.insert(id, Call { sent: self.now, purpose });
         id
     }
 
@@ -670,6 +712,8 @@
             self.counted_at = self.now;
             self.count_workers();
             // A twelfth of a report's interval late is late for workers, too.
+            Purpose::Hedged { n } => self.on_hedged(n, r),
+            Purpose::ReadBack { n } => self.on_read_back(n, r),
             self.lateness.adjust(self.settings.params.workers.report_s / 12.0);
         }
         self.gateway_on_time();
@@ -677,6 +721,7 @@
     }
 
     pub(crate) fn lead(&mut self, token: u64) -> Option<&mut Lead> {
+        self.hedges_on_time();
         match &mut self.role {
             Role::Leader(l) if l.token == token => Some(l),
             _ => None,
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -74,7 +74,7 @@
         self.writes.take(self.now, changes.len() as f64);
         // (Repetitions of a known submission once left parts that nobody named.)
         let txn = Txn { conditions: new_job(id), changes };
-        self.state(Purpose::CreateParts { id: id.to_string() }, StateOp::Commit(txn));
+        self.commit_hedged(Purpose::CreateParts { id: id.to_string() }, txn);
     }
 
     pub(crate) fn on_create_parts(&mut self, id: &str, r: StateReply) {
--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -285,7 +285,7 @@
             keys.dedup();
             p.comparing = Some(asks);
             let conditions = keys.into_iter().map(|key| Condition { key, version: 0 }).collect();
-            self.state(Purpose::Compare, StateOp::Commit(Txn { conditions, changes: Vec::new() }));
+            self.commit_hedged(Purpose::Compare, Txn { conditions, changes: Vec::new() });
         } else if let Some(after) = p.revision {
             p.looking = Some(std::mem::take(&mut p.asked));
             self.state(Purpose::Look, StateOp::Watch { prefix: JOBS_WATCHED.to_string(), after, wait_ms: 0 });
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -267,7 +267,7 @@
             conditions: new_job(id),
             changes: vec![Change::Put { key: job_key(id), value, lease: None }],
         };
-        self.state(Purpose::Create { id: id.to_string() }, StateOp::Commit(txn));
+        self.commit_hedged(Purpose::Create { id: id.to_string() }, txn);
     }
 
     pub(crate) fn on_create(&mut self, id: &str, r: StateReply) {
@@ -379,7 +379,7 @@
                 }
                 let txn = self.cancellation(*j, version);
                 self.writes.take(self.now, 1.0);
-                self.state(Purpose::CancelWrite { id: id.to_string(), tries }, StateOp::Commit(txn));
+                self.commit_hedged(Purpose::CancelWrite { id: id.to_string(), tries }, txn);
             }
             // It may have been over, and moved, before that read.
             StateReply::Missing(_) if !over => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -390,6 +390,9 @@
     pub tick_s: f64,
     /// Timeout of a call to the state service.
     pub state_timeout_s: f64,
+    /// What users wait for is not taken for overdue before: a tenth of that time-out, many
+    /// times as long as an answer usually takes.
+    pub overdue_s: f64,
     /// Timeout of a call to the cloud.
     pub cloud_timeout_s: f64,
 }
@@ -397,6 +400,10 @@
 /// How long a worker waits for an answer (fixed by the protocol).
 const WORKER_TIMEOUT_S: f64 = 4.0;
 
+/// How long an answer of the state service is waited for: users wait for 2 s (fixed by the
+/// protocol).
+const STATE_TIMEOUT_S: f64 = 1.5;
+
 /// A lease may end that much late (fixed by the protocol).
 const EXPIRY_S: f64 = 0.1;
 
@@ -443,7 +450,8 @@
             heard_s: w.report_s * 3.0,
             report_gap_s: w.report_s * 1.75,
             tick_s: w.report_s / 3.0,
-            state_timeout_s: 1.5,
+            state_timeout_s: STATE_TIMEOUT_S,
+            overdue_s: STATE_TIMEOUT_S / 10.0,
             cloud_timeout_s: 5.0,
         }
     }
--- /dev/null
+++ b/crates/testkit/tests/lost_answers.rs
@@ -0,0 +1,291 @@
+//! Transactions that are carried out while their answer is lost, or carried out late
+//! (`docs/safety.md`, "Where troubles meet").
+
+mod common;
+#[allow(dead_code)]
+mod stage;
+
+use anisecroft_testkit::{Fault, Setup, Sim};
+use common::{setup, unlimited};
+use engine::record::{JobRecord, StoredPlacement, Value, LEADER_KEY};
+use engine::*;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use settings::NextLimits;
+use stage::*;
+use std::collections::BTreeMap;
+use wire::job::*;
+
+/// The first `count` transactions that change a key with that beginning meet `fate`.
+fn once(prefix: &'static str, count: usize, fate: Fate) -> Box<dyn FnMut(&StateOp) -> Fate> {
+    let mut left = count;
+    Box::new(move |op| {
+        if left > 0 && writes(op, prefix) {
+            left -= 1;
+            return fate;
+        }
+        Fate::Answered
+    })
+}
+
+/// A submission that is stored, or will be, is accepted within a second, whichever answers
+/// are missing. (Users once got 503 after the time-out, and asked again a second later.)
+#[test]
+fn a_submission_without_an_answer_is_accepted_within_a_second() {
+    for (n, fate) in [Fate::Lost, Fate::Late(6.0), Fate::Answered].into_iter().enumerate() {
+        let mut s = Stage::leading();
+        s.fate = once("j/", 1, fate);
+        let sent = s.now;
+        let request = s.submit(&spec("req-1", 1));
+        s.run(8.0);
+        let (at, status, told) = s.told(request).expect("an answer");
+        assert_eq!((status, told), (201, Some(JobStatus::Pending)), "{fate:?}");
+        assert!(at - sent < 1.0, "{fate:?}: after {}", at - sent);
+        // In quiet times nothing is read back.
+        assert_eq!(s.reads("j/") > 0, n < 2, "{fate:?}: {} read", s.reads("j/"));
+        assert_eq!(s.store.count("j/"), 1);
+    }
+}
+
+/// The same of a cancellation, also by a mark beside a record that is too large.
+#[test]
+fn a_cancellation_without_an_answer_is_confirmed_within_a_second() {
+    for (fate, marked) in
+        [(Fate::Lost, false), (Fate::Late(6.0), false), (Fate::Lost, true), (Fate::Late(6.0), true)]
+    {
+        let mut s = if marked { with_a_large_record() } else { Stage::leading() };
+        if !marked {
+            s.submit(&spec("req-1", 1));
+            s.run(1.0);
+        }
+        let key = if marked { "jx/" } else { "j/" };
+        s.fate = once(key, 1, fate);
+        let sent = s.now;
+        let request = s.ask(Request::Cancel("req-1".into()));
+        s.run(8.0);
+        let (at, status, told) = s.told(request).expect("an answer");
+        assert_eq!((status, told), (200, Some(JobStatus::Cancelled)), "{fate:?}");
+        assert!(at - sent < 1.0, "{fate:?}: after {}", at - sent);
+        assert!(s.writes(sent - 0.1, key) > 0);
+    }
+}
+
+/// A job of an earlier version, whose record is larger than the coming limits allow.
+fn with_a_large_record() -> Stage {
+    let mut settings = settings();
+    settings.params.state.value_kb = 8.0;
+    settings.params.state.next = Some(NextLimits { value_kb: Some(2.0), ..NextLimits::default() });
+    let mut record = JobRecord { per_page: 200, ..JobRecord::new(spec("req-1", 200), 1e9, 8192) };
+    let place = |task| StoredPlacement { task, attempt: 1, machine: "vm-of-a-long-name".into() };
+    record.page.places = (0..100).map(place).collect();
+    let mut s = Stage::with(settings, [("j/req-1".into(), Value::Job(Box::new(record)))]);
+    s.all_have_this_version();
+    s
+}
+
+/// A question is answered within a second though the comparison that it needs got no answer.
+#[test]
+fn a_question_without_a_comparison_is_answered_within_a_second() {
+    let mut s = Stage::leading();
+    s.submit(&spec("req-1", 1));
+    s.run(0.5);
+    let mut left = 1;
+    s.fate = Box::new(move |op| {
+        let compares = matches!(op, StateOp::Commit(t) if t.changes.is_empty());
+        if compares && left > 0 {
+            left -= 1;
+            return Fate::Lost;
+        }
+        Fate::Answered
+    });
+    let sent = s.now;
+    let asked = ["req-1", "req-2"].map(|id| s.ask(Request::Poll(id.into())));
+    s.run(2.0);
+    let told = asked.map(|request| s.told(request).expect("an answer"));
+    assert_eq!(told.map(|t| (t.1, t.2)), [(200, Some(JobStatus::Pending)), (404, None)]);
+    assert!(told.iter().all(|t| t.0 - sent < 1.0), "{told:?} of {sent}");
+}
+
+/// In an outage nothing is read back; and of much that is overdue at once no more than a part of the
+/// node's reads, so that the others go on.
+#[test]
+fn reading_back_has_its_bounds() {
+    let mut s = Stage::leading();
+    s.fate = Box::new(|op| if writes(op, "j/") { Fate::Lost } else { Fate::Refused });
+    s.run(1.0);
+    s.submit(&spec("req-1", 1));
+    s.run(3.0);
+    assert_eq!(s.reads("j/"), 0);
+    let mut s = Stage::leading();
+    s.fate = Box::new(|op| if writes(op, "j/") { Fate::Late(9.0) } else { Fate::Answered });
+    (0..400).for_each(|n| {
+        s.submit(&spec(&format!("req-{n}"), 1));
+    });
+    s.run(1.4);
+    let state = settings().params.state;
+    let most = state.rps * 0.8 / 3.0 * 0.25 * 2.4;
+    let (reads, copies) = (s.reads("j/"), s.writes(1.1, "j/"));
+    assert!(reads > 5 && reads as f64 <= most, "{reads} read, {most} at most");
+    assert!(copies as f64 <= state.write_rps * 0.5 * 0.25 * 2.4, "{copies} copies");
+}
+
+/// Kinds of transactions whose answer was lost, with how many there were.
+fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
+    let mut kinds = BTreeMap::new();
+    for w in &sim.lost_writes {
+        let mut note = |kind| *kinds.entry(kind).or_insert(0) += 1;
+        for key in &w.keys {
+            let first = |such: fn(&Value) -> bool| sim.store().first(key, such).0 == Some(w.at);
+            let cancelled = |v: &Value| matches!(v, Value::Job(j) if j.status == JobStatus::Cancelled);
+            match key.split('/').next() {
+                Some("a") if key == LEADER_KEY => note("claim"),
+                Some("f") => note("gate"),
+                Some("w") => note("parts"),
+                Some("t") => note("pages"),
+                Some("i") => note("images"),
+                Some("jx") => note("mark"),
+                Some("jo") => note("move"),
+                Some("j") if first(|_| true) => note("submission"),
+                Some("j") if first(cancelled) => note("cancellation"),
+                Some("j") => note("record"),
+                _ => {}
+            }
+        }
+    }
+    kinds
+}
+
+/// Jobs of all kinds, some of hundreds of tasks and some whose specification goes into parts, under
+/// limits that may fall to a quarter.
+fn mixture(seed: u64) -> Setup {
+    let mut s = setup(seed, vec![]);
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x105e);
+    let state = &mut s.settings.params.state;
+    (state.value_kb, state.txn_ops) = (8.0, 24);
+    state.next = Some(NextLimits {
+        rps: None,
+        write_rps: Some(state.write_rps * 0.7),
+        value_kb: Some(2.0),
+        txn_ops: Some(8),
+    });
+    unlimited(&mut s);
+    for (n, (at, spec, cancel)) in s.jobs.iter_mut().enumerate() {
+        *at = rng.gen_range(2.0..110.0);
+        *cancel = cancel.map(|_| *at + rng.gen_range(0.1..30.0));
+        if n % 5 == 0 && spec.shape == Shape::Array {
+            spec.tasks = rng.gen_range(60..300);
+            (spec.cores, spec.accelerators, spec.memory_gb) = (0.25, 0.0, 0.25);
+        }
+        if n % 7 == 0 {
+            let names = (0..40).map(|n| format!("{}{n}", "type-with-a-long-name-".repeat(4)));
+            spec.types = Some(names.chain(["big".to_string()]).collect());
+        }
+    }
+    Setup { capacity: 12, ..s }
+}
+
+/// Answers are lost, transactions late, or both, for two minutes, at that share in all; before, as the
+/// first leader begins, most answers are lost.
+fn lossy(seed: u64, nodes: usize, share: f64) -> Sim {
+    let (from, for_s) = ([4.0, 15.0][seed as usize / 3 % 2], 110.0);
+    let mut faults = match seed % 4 {
+        0 => vec![Fault::LostAnswers { share, for_s }],
+        1 => vec![Fault::LateWrites { share, for_s }],
+        _ => {
+            let share = share / 2.0;
+            vec![Fault::LostAnswers { share, for_s }, Fault::LateWrites { share, for_s }]
+        }
+    };
+    faults.push(Fault::CloseLooks { for_s });
+    faults.push(Fault::CancelAtEnd { share: 0.1, for_s });
+    let mut faults: Vec<_> = faults.into_iter().map(|f| (from, f)).collect();
+    faults.push((0.0, Fault::LostAnswers { share: 0.7, for_s: 4.0 }));
+    if seed % 3 > 0 {
+        faults.push((20.0 + seed as f64 % 40.0, Fault::LimitsFall));
+    }
+    Sim::new(Setup { nodes, faults, ..mixture(seed) })
+}
+
+/// The leader is replaced, or ends, once.
+fn hand_over(sim: &mut Sim, seed: u64) {
+    let Some(node) = sim.leader() else { return };
+    sim.strike(match seed % 4 {
+        0 => Fault::Crash { node, for_s: 0.2 },
+        1 => Fault::Crash { node, for_s: 8.0 },
+        2 => Fault::StateRefuses { node, for_s: 9.0 },
+        _ => Fault::Silent { node, for_s: 12.0 },
+    });
+}
+
+fn play(seed: u64) -> Sim {
+    let nodes = 3 + (seed / 2 % 2) as usize * 2;
+    let what = format!("seed {seed}, {nodes} nodes");
+    let mut sim = lossy(seed, nodes, 0.3);
+    for at in [45.0, 85.0] {
+        assert_eq!(sim.run(at + seed as f64 % 7.0), [], "{what}");
+        hand_over(&mut sim, seed / 4);
+    }
+    assert_eq!(sim.run(500.0), [], "{what}");
+    assert_eq!(sim.unfinished(), Vec::<String>::new(), "{what}");
+    assert!(sim.looks().close_answered > 100, "{what}: {:?}", sim.looks());
+    sim
+}
+
+/// Days on two threads, and which transactions lost their answer on them.
+fn days(seeds: std::ops::Range<u64>) -> BTreeMap<&'static str, usize> {
+    let half = |odd: u64| seeds.clone().filter(move |s| s % 2 == odd).map(|s| kinds(&play(s)));
+    let all = std::thread::scope(|scope| {
+        let threads = [0, 1].map(|odd| scope.spawn(move || half(odd).collect::<Vec<_>>()));
+        threads.into_iter().flat_map(|t| t.join().expect("no rule breaks")).collect::<Vec<_>>()
+    });
+    let mut sums = BTreeMap::new();
+    all.into_iter().flatten().for_each(|(kind, n)| *sums.entry(kind).or_insert(0) += n);
+    sums
+}
+
+/// While the other nodes read what was written, and users ask there, and the writer retries, reads
+/// back, is replaced or ends.
+#[test]
+fn lost_answers_and_late_transactions_break_no_rule() {
+    let kinds = days(0..6);
+    for kind in KINDS {
+        assert!(kinds.contains_key(kind), "no {kind}: {kinds:?}");
+    }
+}
+
+const KINDS: [&str; 9] =
+    ["claim", "gate", "parts", "pages", "images", "move", "submission", "cancellation", "record"];
+
+/// The same for many seeds, by hand: `cargo test --release -p anisecroft-testkit --test
+/// lost_answers -- --ignored`.
+#[test]
+#[ignore = "minutes"]
+fn lost_answers_and_late_transactions_on_many_days() {
+    println!("{:?}", days(100..300));
+}
+
+/// Of 300 submissions in a minute of `trouble`, those accepted within a second.
+fn accepted_in_time(seed: u64, nodes: usize, trouble: Fault) -> usize {
+    let mut s = setup(seed, vec![(10.0, trouble)]);
+    unlimited(&mut s);
+    let job = |n: usize| JobSpec { estimate_s: 3.0, ..spec(&format!("req-{n:04}"), 1) };
+    s.jobs = (0..300).map(|n| (10.0 + n as f64 * 0.2, job(n), None)).collect();
+    let at: BTreeMap<String, f64> = s.jobs.iter().map(|(at, spec, _)| (spec.id.clone(), *at)).collect();
+    let mut sim = Sim::new(Setup { nodes, ..s });
+    assert_eq!(sim.run(100.0), [], "seed {seed}");
+    assert_eq!(sim.ledger.accepted.len(), 300, "seed {seed}");
+    sim.ledger.accepted_at.iter().filter(|(id, told)| **told - at[*id] <= 1.0).count()
+}
+
+/// Where three transactions in ten get no answer, users are told within a second nearly as
+/// often as ever. (Of ten seeds before: 0.70 with lost answers, 0.71 with late writes.)
+#[test]
+fn most_are_accepted_within_a_second_whatever_is_lost() {
+    for (seed, nodes) in [(1, 3), (2, 5)] {
+        for trouble in
+            [Fault::LostAnswers { share: 0.3, for_s: 60.0 }, Fault::LateWrites { share: 0.3, for_s: 60.0 }]
+        {
+            let accepted = accepted_in_time(seed, nodes, trouble.clone());
+            assert!(accepted >= 280, "seed {seed}, {nodes} nodes, {trouble:?}: {accepted} of 300");
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/stage/mod.rs
@@ -0,0 +1,328 @@
+//! One controller before a state service whose answers a test loses or holds back as it likes.
+
+use anisecroft_testkit::state::Store;
+use engine::record::{Value, FORMAT, FORMAT_KEY};
+use engine::*;
+use settings::{Operator, Settings};
+use std::collections::BTreeMap;
+use wire::cloud::*;
+use wire::job::*;
+use wire::state::{Change, Txn};
+use wire::worker::*;
+
+/// How long the driver waits for an answer.
+pub const TIMEOUT_S: f64 = 1.5;
+const WAY_S: f64 = 0.005;
+
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Fate {
+    Answered,
+    /// Carried out, without an answer.
+    Lost,
+    /// The same, but not before that time.
+    Late(f64),
+    /// Its answer waits until the test wants it.
+    Held,
+    Refused,
+}
+
+pub struct Stage {
+    pub core: Core,
+    pub store: Store,
+    pub now: f64,
+    /// What becomes of calls from now on.
+    pub fate: Box<dyn FnMut(&StateOp) -> Fate>,
+    /// Before keys with that beginning are listed first, somebody else stores these.
+    pub before_list: Option<(&'static str, Vec<(String, Value)>)>,
+    /// All transactions, with when they were sent.
+    pub sent: Vec<(f64, Txn<Value>)>,
+    pub answers: BTreeMap<RequestId, (f64, Answer)>,
+    /// Keys that were read.
+    gets: Vec<String>,
+    replies: Vec<(f64, Input)>,
+    late: Vec<(f64, StateOp)>,
+    watches: Vec<(f64, CallId, StateOp)>,
+    pub held: Vec<Input>,
+    seq: u64,
+    next: RequestId,
+}
+
+pub fn big() -> MachineType {
+    MachineType {
+        name: "big".into(),
+        cores: 16.0,
+        accelerators: 4.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 4.0,
+        spot_price: 1.5,
+        boot_s: 10.0,
+        zones: vec!["a".into()],
+    }
+}
+
+pub fn spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "work".into(),
+        team: "dispatch".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks,
+        cores: 1.0,
+        accelerators: 1.0,
+        memory_gb: 1.0,
+        image: "img-1".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+        awaits: Vec::new(),
+    }
+}
+
+pub fn task(id: &str, number: u32, state: TaskState) -> TaskReport {
+    let cause = (state == TaskState::Exited).then_some(ExitCause::Done);
+    // An array that is placed in order has these attempts.
+    TaskReport { task: task_name(id, number), attempt: u64::from(number) + 1, state, cause, saved: None }
+}
+
+pub fn settings() -> Settings {
+    Settings::parse(include_str!("../../../../docs/example.toml")).unwrap()
+}
+
+impl Stage {
+    pub fn new() -> Self {
+        Stage::with(settings(), [(FORMAT_KEY.to_string(), Value::Format(FORMAT))])
+    }
+
+    /// With `items` in the store.
+    pub fn with(settings: Settings, items: impl IntoIterator<Item = (String, Value)>) -> Self {
+        Stage {
+            core: Core::new(settings, Operator::default(), 1),
+            store: Store::holding(items),
+            before_list: None,
+            now: 0.0,
+            fate: Box::new(|_| Fate::Answered),
+            sent: vec![],
+            answers: BTreeMap::new(),
+            gets: vec![],
+            replies: vec![],
+            late: vec![],
+            watches: vec![],
+            held: vec![],
+            seq: 0,
+            next: 0,
+        }
+    }
+
+    /// One that leads.
+    pub fn leading() -> Self {
+        let mut s = Stage::new();
+        s.run(1.0);
+        assert!(s.core.has_loaded());
+        s
+    }
+
+    pub fn feed(&mut self, input: Input) {
+        for o in self.core.handle(self.now, 1e9 + self.now, input) {
+            match o {
+                Output::Answer(id, a) => {
+                    self.answers.insert(id, (self.now, a));
+                }
+                Output::State(call, op) => self.call(call, op),
+                Output::Cloud(call, op) => {
+                    self.replies.push((self.now + 0.1, Input::Cloud(call, cloud(&op))))
+                }
+                Output::Worker(call, ..) => {
+                    self.replies.push((self.now + WAY_S, Input::Worker(call, WorkerReply::Failed)));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call(&mut self, call: CallId, op: StateOp) {
+        if let StateOp::Commit(txn) = &op {
+            self.sent.push((self.now, txn.clone()));
+        }
+        if let StateOp::Get(key) = &op {
+            self.gets.push(key.clone());
+        }
+        let unknown = (self.now + TIMEOUT_S, Input::State(call, StateReply::Unknown));
+        let fate = (self.fate)(&op);
+        if fate == Fate::Refused {
+            return self.replies.push((self.now + WAY_S, Input::State(call, StateReply::Refused)));
+        }
+        if let Fate::Late(at) = fate {
+            self.late.push((self.now + at, op));
+            return self.replies.push(unknown);
+        }
+        if let StateOp::List { prefix, .. } = &op {
+            if let Some((_, items)) = self.before_list.take_if(|b| b.0 == prefix) {
+                let put = |(key, value)| Change::Put { key, value, lease: None };
+                let changes = items.into_iter().map(put).collect();
+                self.store.execute(self.now, &StateOp::Commit(Txn { conditions: vec![], changes }));
+            }
+        }
+        let reply = self.store.execute(self.now, &op);
+        match (reply, fate) {
+            (Some(r), Fate::Answered) => self.replies.push((self.now + 2.0 * WAY_S, Input::State(call, r))),
+            (Some(r), Fate::Held) => self.held.push(Input::State(call, r)),
+            (Some(_), _) => self.replies.push(unknown),
+            (None, _) => {
+                let StateOp::Watch { wait_ms, .. } = &op else { return };
+                self.watches.push((self.now + *wait_ms as f64 / 1000.0, call, op));
+            }
+        }
+    }
+
+    /// Delivers what has been held longest; false if there is nothing.
+    pub fn release(&mut self) -> bool {
+        let held = !self.held.is_empty();
+        if held {
+            let input = self.held.remove(0);
+            self.feed(input);
+        }
+        held
+    }
+
+    /// All other nodes say that they have this version.
+    pub fn all_have_this_version(&mut self) {
+        for node in ["chiefs-1", "chiefs-2"] {
+            let view = wire::peer::View { node: node.into(), token: 0, ..self.core.view_for_peers() };
+            self.feed(Input::Peer(view));
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        for (until, call, op) in std::mem::take(&mut self.watches) {
+            let r = self.store.execute(self.now, &op);
+            match r.or_else(|| (self.now >= until).then(|| self.store.quiet())) {
+                Some(r) if (self.fate)(&op) == Fate::Held => self.held.push(Input::State(call, r)),
+                Some(r) => self.replies.push((self.now + WAY_S, Input::State(call, r))),
+                None => self.watches.push((until, call, op)),
+            }
+        }
+    }
+
+    pub fn run(&mut self, for_s: f64) {
+        let end = self.now + for_s;
+        while self.now < end {
+            self.now += WAY_S;
+            let now = self.now;
+            self.store.expire(now);
+            let (due, rest): (Vec<_>, _) =
+                std::mem::take(&mut self.late).into_iter().partition(|l| l.0 <= now);
+            self.late = rest;
+            for (_, op) in due {
+                self.store.execute(now, &op);
+            }
+            self.wake_watches();
+            let (due, rest): (Vec<_>, _) =
+                std::mem::take(&mut self.replies).into_iter().partition(|r| r.0 <= now);
+            self.replies = rest;
+            for (_, input) in due {
+                self.feed(input);
+            }
+            // As a driver that ticks every 50 ms.
+            if (now / WAY_S).round() as u64 % 10 == 0 {
+                self.feed(Input::Tick);
+            }
+        }
+    }
+
+    pub fn ask(&mut self, r: Request) -> RequestId {
+        self.next += 1;
+        let id = self.next;
+        self.feed(Input::Request(id, r));
+        id
+    }
+
+    pub fn submit(&mut self, spec: &JobSpec) -> RequestId {
+        self.ask(Request::Submit(wire::encode(spec)))
+    }
+
+    /// The machine reports these tasks. Its answer may come later.
+    pub fn report(&mut self, tasks: &[TaskReport]) -> RequestId {
+        self.seq += 1;
+        let report = Report {
+            machine: "vm-1".into(),
+            addr: "10.1.0.1:9000".into(),
+            machine_type: "big".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: self.core.token().unwrap_or(0),
+            notice_s: None,
+            tasks: tasks.to_vec(),
+        };
+        self.ask(Request::Report(wire::encode(&report)))
+    }
+
+    /// What the answer to a report starts.
+    pub fn started(&self, request: RequestId) -> Vec<String> {
+        let answer = self.answers.get(&request).filter(|a| a.1.status == 200);
+        let commands = answer.map(|a| wire::decode::<ReportAnswer>(&a.1.body).unwrap().commands);
+        let starts = commands.into_iter().flatten().filter(|c| c.op == Verb::Start);
+        starts.map(|c| c.task).collect()
+    }
+
+    /// Status and state that a user was told, and when.
+    pub fn told(&self, request: RequestId) -> Option<(f64, u16, Option<JobStatus>)> {
+        let (at, a) = self.answers.get(&request)?;
+        Some((*at, a.status, wire::decode::<JobView>(&a.body).ok().map(|v| v.status)))
+    }
+
+    /// Reads of keys with that beginning.
+    pub fn reads(&self, prefix: &str) -> usize {
+        self.gets.iter().filter(|k| k.starts_with(prefix)).count()
+    }
+
+    /// Transactions since `at` that change a key with that beginning.
+    pub fn writes(&self, at: f64, prefix: &str) -> usize {
+        let touches = |t: &Txn<Value>| t.changes.iter().any(|c| changed(c).starts_with(prefix));
+        self.sent.iter().filter(|(sent, t)| *sent > at && touches(t)).count()
+    }
+}
+
+/// The key that a change is of.
+pub fn changed(c: &Change<Value>) -> &str {
+    match c {
+        Change::Put { key, .. } | Change::Delete { key } => key,
+    }
+}
+
+/// Whether `op` changes a key with that beginning.
+pub fn writes(op: &StateOp, prefix: &str) -> bool {
+    matches!(op, StateOp::Commit(t) if t.changes.iter().any(|c| changed(c).starts_with(prefix)))
+}
+
+fn cloud(op: &CloudOp) -> CloudReply {
+    match op {
+        CloudOp::Types => CloudReply::Types(MachineTypes { types: vec![big()] }),
+        CloudOp::List { .. } => CloudReply::List(MachineList {
+            machines: vec![ListedMachine {
+                id: "vm-1".into(),
+                addr: Some("10.1.0.1:9000".into()),
+                machine_type: "big".into(),
+                zone: "a".into(),
+                spot: false,
+                state: MachineState::Running,
+                age_s: 1.0,
+            }],
+            more: false,
+        }),
+        CloudOp::Rent(_) => CloudReply::NoCapacity,
+        CloudOp::Delete(_) => CloudReply::Done,
+    }
+}
