The leader knows its own write by its watch, if that comes before the answer

Cause: after a write whose answer was lost nothing was written for 1.5 s and a read, so that no task could be launched; the watch had shown the write all the time, and was put aside.

Change: what is in flight is compared with what the watch shows. If all that it puts stands there, of one revision, it was carried out. (Pages are not in that watch: such writes are read back as before.)

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeSet;
 use tracing::{debug, warn};
 use wire::job::JobStatus;
-use wire::state::{Change, Condition, Item, Txn, TXN_LIMIT};
+use wire::state::{Change, Condition, Event, Item, Txn, TXN_LIMIT};
 
 /// What the leader is writing, and when it may go on.
 pub struct Writes {
@@ -49,6 +49,8 @@
 pub struct InFlight {
     pub serial: u64,
     pub parts: Vec<Part>,
+    /// What it puts where.
+    puts: Vec<(String, Value)>,
 }
 
 /// One job's share of a transaction.
@@ -74,6 +76,28 @@
     pub fn touches(&self, id: &str) -> bool {
         self.parts.iter().any(|p| p.id == id)
     }
+
+    /// The revision at which all that it puts was stored, if `events` show that. (They may show
+    /// one job as it is in this transaction and as an earlier one, carried out late, left it.)
+    fn stored_at(&self, events: &[Event<Value>]) -> Option<u64> {
+        let stored = |key: &str, value: &Value| {
+            events.iter().find_map(|e| match e {
+                Event::Put { key: k, value: v, version } if k == key && v == value => Some(*version),
+                _ => None,
+            })
+        };
+        let mut revisions = self.puts.iter().map(|(key, value)| stored(key, value));
+        let first = revisions.next()??;
+        revisions.all(|r| r == Some(first)).then_some(first)
+    }
+}
+
+fn puts(txn: &Txn<Value>) -> Vec<(String, Value)> {
+    let put = |c: &Change<Value>| match c {
+        Change::Put { key, value, .. } => Some((key.clone(), value.clone())),
+        Change::Delete { .. } => None,
+    };
+    txn.changes.iter().filter_map(put).collect()
 }
 
 impl Core {
@@ -234,7 +258,7 @@
         }
         l.writes.serial += 1;
         let serial = l.writes.serial;
-        l.writes.in_flight = Some(InFlight { serial, parts });
+        l.writes.in_flight = Some(InFlight { serial, parts, puts: puts(&txn) });
         if !self.guards.versions {
             txn.conditions.clear();
         }
@@ -290,6 +314,21 @@
         self.replay_deferred();
     }
 
+    /// The watch may show a transaction in flight before its answer does, which may be lost. (All
+    /// writes once stood still until that was given up for lost.)
+    pub(crate) fn see_own_write(&mut self, token: u64, events: &[Event<Value>]) {
+        let Some(l) = self.lead(token) else { return };
+        let Some(c) = l.writes.in_flight.take() else { return };
+        match c.stored_at(events) {
+            Some(revision) => {
+                self.limits.served();
+                self.applied(token, c.parts, revision);
+                self.replay_deferred();
+            }
+            None => l.writes.in_flight = Some(c),
+        }
+    }
+
     /// A transaction with these parts was applied.
     fn applied(&mut self, token: u64, parts: Vec<Part>, revision: u64) {
         if let Some(l) = self.lead(token) {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -803,6 +803,7 @@
         }
     }
 
+                self.see_own_write(token, &e.events);
     pub(crate) fn on_job_watch(&mut self, token: u64, sent: Time, r: StateReply) {
         let now = self.now;
         let retry = self.d.renew_s / 4.0;
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -15,7 +15,11 @@
 use std::collections::BTreeMap;
 use wire::job::*;
 
-/// The first `count` transactions that change a key with that beginning meet `fate`.
+/// Loses the answers of the first `count` transactions that change a key with that beginning.
+fn lose(prefix: &'static str, count: usize) -> Box<dyn FnMut(&StateOp) -> Fate> {
+    once(prefix, count, Fate::Lost)
+}
+
 fn once(prefix: &'static str, count: usize, fate: Fate) -> Box<dyn FnMut(&StateOp) -> Fate> {
     let mut left = count;
     Box::new(move |op| {
@@ -128,6 +132,19 @@
     assert!(copies as f64 <= state.write_rps * 0.5 * 0.25 * 2.4, "{copies} copies");
 }
 
+/// A placement whose answer is lost is launched all the same, at once.
+#[test]
+fn a_placement_without_an_answer_is_launched_at_once() {
+    let mut s = Stage::leading();
+    s.submit(&spec("req-1", 1));
+    s.run(0.5);
+    s.fate = lose("j/", 9);
+    let (request, sent) = (s.report(&[]), s.now);
+    s.run(4.0);
+    assert_eq!(s.started(request), ["req-1/0"]);
+    assert!(s.answers[&request].0 - sent < 1.0, "after {}", s.answers[&request].0 - sent);
+}
+
 /// Kinds of transactions whose answer was lost, with how many there were.
 fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
     let mut kinds = BTreeMap::new();
