A claim whose answer is lost is known as this node's own

Cause: its lease was given back and claimed anew, while the leader key named this node and all others sent their workers here. And a look at the key from before the claim, answered after it, ended the leadership at once, with its lease left to run out.

Missing at a revision before the own token is no news.

Measured: `a_claim_without_an_answer_is_known_as_own` and `a_look_from_before_the_claim_does_not_end_it` fail before and pass now.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -3,6 +3,7 @@
 
 use crate::archive::{over_record, Finished};
 use crate::authority::Authority;
+use crate::claim::Claim;
 use crate::fleet::Fleet;
 use crate::job::Job;
 use crate::machine::{Life, Machine};
@@ -181,7 +182,7 @@
 }
 
 impl Lead {
-    fn new(token: u64, lease: u64, now: Time, authority: Authority) -> Self {
+    pub fn new(token: u64, lease: u64, now: Time, authority: Authority) -> Self {
         Lead {
             token,
             lease,
@@ -366,7 +367,7 @@
         }
     }
 
-    fn look_again(&mut self, pause: f64) {
+    pub(crate) fn look_again(&mut self, pause: f64) {
         self.leader_watch = Follow { busy: false, revision: None, retry_at: self.now + pause };
     }
 
@@ -379,13 +380,19 @@
             }
             StateReply::Missing(revision) => {
                 self.leader_watch.revision = Some(revision);
-                self.saw_leader(None);
+                // Read before this node's claim was carried out, it says nothing of it.
+                if self.token().is_none_or(|own| own < revision) {
+                    self.saw_leader(None);
+                }
             }
             _ => self.look_again(self.d.renew_s / 2.0),
         }
     }
 
     fn saw_leader(&mut self, leader: Option<(LeaderRecord, u64)>) {
+        if let Some((l, token)) = &leader {
+            self.see_own_claim(l, *token);
+        }
         self.predecessor.saw(&self.settings.node, leader.as_ref());
         let leader = leader.map(|(l, token)| (l.node, token));
         if let Role::Leader(l) = &self.role {
@@ -453,7 +460,8 @@
         };
         // Somebody else may have claimed meanwhile: 0 fails then, as it should.
         let (version, again) = self.claimable().unwrap_or_default();
-        let record = LeaderRecord { node: self.settings.node.clone(), at: self.wall, again };
+        let record = LeaderRecord { node: self.settings.node.clone(), at: self.wall, again, lease };
+        self.claim = Some(Claim { lease, asked: self.claim_at });
         let txn = Txn {
             conditions: vec![Condition { key: LEADER_KEY.to_string(), version }],
             changes: vec![Change::Put {
@@ -465,28 +473,6 @@
         self.state(Purpose::Claim { lease }, StateOp::Commit(txn));
     }
 
-    pub(crate) fn on_claim(&mut self, lease: u64, r: StateReply) {
-        self.claiming = false;
-        match r {
-            StateReply::Committed(token) => {
-                info!(token, "leading");
-                self.known_leader = Some((self.settings.node.clone(), token));
-                // `claim_at` is when the lease was asked for: its time cannot
-                // have begun earlier.
-                let authority = Authority::new(&self.d, self.claim_at);
-                self.role = Role::Leader(Box::new(Lead::new(token, lease, self.now, authority)));
-                self.take_over_reports();
-            }
-            _ => {
-                self.state(Purpose::Revoke, StateOp::Revoke(lease));
-                self.claim_at = self.now + self.d.renew_s / 4.0;
-                if !self.leader_watch.busy {
-                    self.look_again(0.0);
-                }
-            }
-        }
-    }
-
     /// Another node or a worker has seen that token: who leads with a lower one has
     /// been replaced.
     pub(crate) fn heard_of(&mut self, token: u64, by: &str) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 mod authority;
 mod beside;
 mod bound;
+mod claim;
 mod commit;
 mod deaf;
 mod early;
@@ -100,6 +101,9 @@
     Claim {
         lease: u64,
     },
+    ClaimLook {
+        lease: u64,
+    },
     Renew {
         token: u64,
         sent: Time,
@@ -319,6 +323,8 @@
     pub(crate) types: Option<Vec<MachineType>>,
     pub(crate) types_look_at: Time,
     pub(crate) finals: Finals,
+    /// What is on its way.
+    pub(crate) claim: Option<claim::Claim>,
     pub(crate) users: users::Users,
     pub(crate) polls: polls::Polls,
     pub(crate) reads: Budget,
@@ -392,6 +398,7 @@
             types: None,
             types_look_at: 0.0,
             finals: Finals::default(),
+            claim: None,
             users: users::Users::default(),
             polls: polls::Polls::default(),
             // Users' reads and writes at one node may take their share of
@@ -681,6 +688,7 @@
             Purpose::Revoke | Purpose::TypesWrite => {}
             Purpose::Load { token, sent } => self.on_load(token, sent, r),
             Purpose::JobWatch { token, sent } => self.on_job_watch(token, sent, r),
+            Purpose::ClaimLook { lease } => self.on_claim_look(lease, r),
             Purpose::Commit { token, serial } => self.on_commit(token, serial, r),
             Purpose::Move { token } => self.on_move(token, r),
             Purpose::FormatLook { token } => self.on_format_look(token, r),
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -131,6 +131,9 @@
     /// not led for long.
     #[serde(default)]
     pub again: u32,
+    /// The lease that it claimed with; 0 from nodes that do not tell.
+    #[serde(default)]
+    pub lease: u64,
 }
 
 /// What is left of a job that is over: all that users are ever told of it.
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -145,6 +145,59 @@
     assert!(s.answers[&request].0 - sent < 1.0, "after {}", s.answers[&request].0 - sent);
 }
 
+/// A claim that was carried out is this node's own, by whatever it learns so. (Its lease was given back,
+/// and the next claim made, after the time-out.)
+#[test]
+fn a_claim_without_an_answer_is_known_as_own() {
+    for (watched, within) in [(true, 0.5), (false, TIMEOUT_S + 0.5)] {
+        let mut s = Stage::new();
+        let mut claim = lose("a/leader", 1);
+        s.fate = Box::new(move |op| match op {
+            StateOp::Watch { prefix, .. } if prefix == "a/" && !watched => Fate::Held,
+            _ => claim(op),
+        });
+        s.run(within);
+        assert_eq!((s.core.is_leader(), s.writes(0.0, "a/leader")), (true, 1), "watched: {watched}");
+        s.run(10.0);
+        assert_eq!((s.core.is_leader(), s.writes(0.0, "a/leader")), (true, 1), "watched: {watched}");
+    }
+}
+
+/// The leader key, read before this node's claim was carried out and answered after, ended its
+/// leadership at once, and others waited for its lease.
+#[test]
+fn a_look_from_before_the_claim_does_not_end_it() {
+    let mut s = Stage::new();
+    let (mut watches, mut looks) = (0, 0);
+    s.fate = Box::new(move |op| match op {
+        StateOp::Watch { .. } => {
+            watches += 1;
+            if watches == 1 {
+                Fate::Refused
+            } else {
+                Fate::Answered
+            }
+        }
+        StateOp::Grant { .. } => Fate::Held,
+        StateOp::Get(key) if key == LEADER_KEY => {
+            looks += 1;
+            if looks == 2 {
+                Fate::Held
+            } else {
+                Fate::Answered
+            }
+        }
+        _ => Fate::Answered,
+    });
+    s.run(0.6);
+    s.release();
+    s.run(0.05);
+    assert!(s.core.is_leader());
+    s.release();
+    s.run(1.0);
+    assert!(s.core.is_leader());
+}
+
 /// Kinds of transactions whose answer was lost, with how many there were.
 fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
     let mut kinds = BTreeMap::new();
