A job that has moved is not taken in again from an older record

Cause: where the answer to a job's move was lost, its record was found missing and the job forgotten. An event of the watch from before, put aside or late, then looked like a new job: it was adopted, its tasks placed (never launched: the write failed), machines asked for.

Change: the revision as of which a record was gone is kept until the watch has passed it (`Departed`).

--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -27,6 +27,29 @@
     pub keys: Vec<String>,
 }
 
+/// Jobs whose record has left those that run, with a revision as of which it was gone: what the
+/// watch shows of them from before is over. No record comes back.
+#[derive(Default)]
+pub struct Departed {
+    gone_at: BTreeMap<String, u64>,
+}
+
+impl Departed {
+    pub fn note(&mut self, id: &str, revision: u64) {
+        self.gone_at.insert(id.to_string(), revision);
+    }
+
+    /// Whether a record of job `id` in that version is over.
+    pub fn covers(&self, id: &str, version: u64) -> bool {
+        self.gone_at.get(id).is_some_and(|gone_at| version <= *gone_at)
+    }
+
+    /// The watch has shown all up to `revision`, and all of that was carried out.
+    pub fn passed(&mut self, revision: u64) {
+        self.gone_at.retain(|_, gone_at| *gone_at > revision);
+    }
+}
+
 #[derive(Default)]
 pub struct Archive {
     /// The format that every node reads, and the version of its key; None: not known yet.
@@ -38,6 +61,7 @@
     /// What stays as long as a live job's record names it: the next leader has to learn
     /// how it ended without a read for each.
     pub held: BTreeMap<String, Finished>,
+    pub departed: Departed,
     /// Keys of layouts that count no more.
     stale: Vec<String>,
     /// Those of them that are being deleted.
@@ -218,9 +242,10 @@
     }
 
     /// Its record has left those that run: it is over, and nothing is left of it.
-    pub(crate) fn has_moved(&mut self, id: &str) {
+    pub(crate) fn has_moved(&mut self, id: &str, revision: u64) {
         self.tell_over(id);
         let Role::Leader(l) = &mut self.role else { return };
+        l.archive.departed.note(id, revision);
         if let Some(job) = l.jobs.remove(id) {
             self.finals.put(id, job.status, job.done_count);
         }
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -337,7 +337,7 @@
             }
         }
         for part in parts.iter().filter(|p| p.moves) {
-            self.has_moved(&part.id);
+            self.has_moved(&part.id, revision);
         }
         let Some(l) = self.lead(token) else { return };
         l.writes.one_by_one = false;
@@ -428,7 +428,7 @@
                     self.replay_deferred();
                 }
             }
-            StateReply::Missing(_) => {
+            StateReply::Missing(revision) => {
                 // A page that was never written, its version is 0 still; or a
                 // job that was over, and has moved. By whom is not known, nor as
                 // what: a leader that was cut off once took its own move, which
@@ -436,6 +436,7 @@
                 l.writes.rereads -= 1;
                 let done = l.writes.rereads == 0;
                 if let Some(id) = key.strip_prefix(JOB_PREFIX) {
+                    l.archive.departed.note(id, revision);
                     if l.jobs.remove(id).is_some() {
                         self.moved_unseen(id);
                     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -832,6 +832,11 @@
         if l.writes.unsettled(id) {
             l.deferred.push_back((key.to_string(), Value::Job(record), version));
             return;
+        // (Where the answer to its move was lost, a job's earlier record was once taken for a live
+        // job's, and its tasks were placed.)
+        if l.archive.departed.covers(id, version) {
+            return;
+        }
         }
         // Its own job's specification is known here, another's lies in parts.
         let known = l.jobs.contains_key(id) || record.status.is_final() || !record.spec.class.is_empty();
@@ -916,6 +921,7 @@
         }
     }
 
+            l.archive.departed.passed(l.watch.revision.unwrap_or(0));
     /// A cancellation went through at this node: the leader need not wait for
     /// its watch, but it takes the record as stored.
     pub(crate) fn cancelled_here(&mut self, id: &str) {
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -14,6 +14,7 @@
 use stage::*;
 use std::collections::BTreeMap;
 use wire::job::*;
+use wire::worker::TaskState;
 
 /// Loses the answers of the first `count` transactions that change a key with that beginning.
 fn lose(prefix: &'static str, count: usize) -> Box<dyn FnMut(&StateOp) -> Fate> {
@@ -198,6 +199,35 @@
     assert!(s.core.is_leader());
 }
 
+/// A job whose end was stored and has moved, without an answer, is over, whatever an older look at
+/// the records still shows of it. (It was taken in anew from that, and placed.)
+#[test]
+fn a_job_that_has_moved_unseen_does_not_come_back() {
+    let mut s = Stage::leading();
+    s.submit(&spec("req-1", 1));
+    s.run(0.5);
+    let mut end = lose("jo/", 1);
+    s.fate = Box::new(move |op| match op {
+        StateOp::Watch { prefix, .. } if prefix == "j" => Fate::Held,
+        _ => end(op),
+    });
+    let request = s.report(&[]);
+    s.run(0.1);
+    assert_eq!(s.started(request), ["req-1/0"]);
+    s.report(&[task("req-1", 0, TaskState::Exited)]);
+    s.run(TIMEOUT_S + 0.1);
+    assert_eq!((s.store.count("j/"), s.store.count("jo/"), s.core.places()), (0, 1, 0));
+    s.fate = Box::new(|_| Fate::Answered);
+    let released = s.now;
+    s.release();
+    for _ in 0..4 {
+        assert_eq!(s.core.places(), 0);
+        s.report(&[]);
+        s.run(1.0);
+    }
+    assert_eq!(s.writes(released, "j/"), 0);
+}
+
 /// Kinds of transactions whose answer was lost, with how many there were.
 fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
     let mut kinds = BTreeMap::new();
