The machines' images are stored on after a lost answer

Cause: the version that the leader knew of a part was outdated, so its write failed for ever, and no other part had its turn.

Change: after a conflict or no answer the part is read back.

Measured: `images_are_stored_after_a_lost_answer` fails before and passes now.

--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -379,10 +379,25 @@
             StateReply::Conflict(c) if c.failed.iter().any(|k| k == LEADER_KEY) => {
                 self.step_down("leader key is another's");
             }
-            // It only helps the next leader; the versions tell later.
+            // An earlier one may have been carried out without an answer. (The version known
+            // here then failed for ever, and no other part had its turn.)
+            StateReply::Conflict(_) | StateReply::Unknown => {
+                l.archive.images_at = now + every;
+                let purpose = Purpose::ImagesRead { token, part: n };
+                self.state(purpose, StateOp::Get(images_key(n)));
+            }
+            // It only helps the next leader.
             _ => l.archive.images_at = now + every,
         }
     }
+
+    /// A part of the machines' images as it is stored.
+    pub(crate) fn on_images_read(&mut self, token: u64, part: usize, r: StateReply) {
+        let Some(l) = self.lead(token) else { return };
+        if let StateReply::Item(Item { value: Value::Images(record), version, .. }) = r {
+            l.archive.read_images(part, record, version);
+        }
+    }
 }
 
 /// The changes that move a job which has just ended.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,8 +11,8 @@
 mod early;
 mod fleet;
 mod floors;
-pub mod io;
 mod hedge;
+pub mod io;
 mod job;
 mod kin;
 mod layout;
@@ -25,8 +25,8 @@
 mod polls;
 pub mod record;
 mod relaying;
-mod unread;
 mod round_trip;
+mod unread;
 mod urgency;
 mod users;
 mod versions;
@@ -140,6 +140,10 @@
     ImagesWrite {
         token: u64,
     },
+    ImagesRead {
+        token: u64,
+        part: usize,
+    },
     Reread {
         token: u64,
         key: String,
@@ -180,6 +184,13 @@
         id: String,
         tries: u32,
     },
+    /// A copy of a transaction that users wait for, and what it writes.
+    Hedged {
+        n: u64,
+    },
+    ReadBack {
+        n: u64,
+    },
     TypesWrite,
     CloudTypes {
         token: u64,
@@ -188,13 +199,6 @@
         token: u64,
     },
     Rent {
-    /// A copy of a transaction that users wait for, and what it writes.
-    Hedged {
-        n: u64,
-    },
-    ReadBack {
-        n: u64,
-    },
         token: u64,
     },
     Delete {
@@ -207,6 +211,12 @@
     Relay,
 }
 
+/// A call on its way.
+pub(crate) struct Call {
+    sent: Time,
+    purpose: Purpose,
+}
+
 /// Final states may be served from memory: they never change.
 #[derive(Default)]
 pub(crate) struct Finals {
@@ -215,12 +225,6 @@
 }
 
 const MOST_FINALS: usize = 20_000;
-/// A call on its way.
-pub(crate) struct Call {
-    sent: Time,
-    purpose: Purpose,
-}
-
 
 impl Finals {
     pub(crate) fn put(&mut self, id: &str, status: JobStatus, done: u32) {
@@ -319,16 +323,19 @@
     pub(crate) predecessor: leader::Predecessor,
     pub(crate) leader_watch: leader::Follow,
     pub(crate) claiming: bool,
+    /// What is on its way.
+    pub(crate) claim: Option<claim::Claim>,
     pub(crate) claim_at: Time,
     pub(crate) types: Option<Vec<MachineType>>,
     pub(crate) types_look_at: Time,
     pub(crate) finals: Finals,
-    /// What is on its way.
-    pub(crate) claim: Option<claim::Claim>,
     pub(crate) users: users::Users,
     pub(crate) polls: polls::Polls,
     pub(crate) reads: Budget,
     pub(crate) writes: Budget,
+    /// How long the state service takes, and users' transactions on their way to it.
+    pub(crate) round_trip: round_trip::RoundTrip,
+    pub(crate) hedges: hedge::Hedges,
     /// What the state service takes, and which version every node has.
     pub(crate) limits: limits::Limits,
     pub(crate) versions: versions::Versions,
@@ -339,9 +346,6 @@
     /// Since when the state service has refused or not answered every call.
     pub(crate) state_bad_since: Option<Time>,
     /// When each worker last reported here, whatever it was answered, and its session and
-    /// How long the state service takes, and users' transactions on their way to it.
-    pub(crate) round_trip: round_trip::RoundTrip,
-    pub(crate) hedges: hedge::Hedges,
     /// number then.
     pub(crate) workers_heard: BTreeMap<String, (Time, (u64, u64))>,
     /// The other controllers' views, with when they came.
@@ -369,6 +373,8 @@
         let mut d = Derived::from(&settings);
         d.tick_s = operator.tick_s.unwrap_or(d.tick_s);
         let nodes = f64::from(settings.params.nodes.max(1));
+        let reads = settings.params.state.rps * 0.8 / nodes;
+        let writes = settings.params.state.write_rps * users::MOST_WRITES;
         let mut rng = SmallRng::seed_from_u64(seed);
         Core {
             guards: Guards::default(),
@@ -379,8 +385,6 @@
             workers_here: 0,
             newcomers: 0,
             counted_at: 0.0,
-        let reads = settings.params.state.rps * 0.8 / nodes;
-        let writes = settings.params.state.write_rps * users::MOST_WRITES;
             last_token: 0,
             heard_token: 0,
             rng,
@@ -394,11 +398,11 @@
             predecessor: leader::Predecessor::default(),
             leader_watch: leader::Follow::default(),
             claiming: false,
+            claim: None,
             claim_at: 0.0,
             types: None,
             types_look_at: 0.0,
             finals: Finals::default(),
-            claim: None,
             users: users::Users::default(),
             polls: polls::Polls::default(),
             // Users' reads and writes at one node may take their share of
@@ -471,17 +475,6 @@
         std::mem::take(&mut self.out)
     }
 
-    /// A timer of this node fired `late` seconds after it was due.
-    pub fn note_lateness(&mut self, late: f64) {
-        self.lateness.note(late);
-    }
-
-    /// What this node tells the others.
-    pub fn view_for_peers(&self) -> wire::peer::View {
-        let since = self.now - self.d.heard_s;
-        let serves = match &self.role {
-            Role::Leader(l) => l.authority.renews(self.now),
-            Role::Follower => self.gateway.serves(self.now),
     /// The state service answered a call, or did not.
     fn note_answer(&mut self, c: &Call, r: &StateReply) {
         self.hedges.note(r);
@@ -496,6 +489,17 @@
         }
     }
 
+    /// A timer of this node fired `late` seconds after it was due.
+    pub fn note_lateness(&mut self, late: f64) {
+        self.lateness.note(late);
+    }
+
+    /// What this node tells the others.
+    pub fn view_for_peers(&self) -> wire::peer::View {
+        let since = self.now - self.d.heard_s;
+        let serves = match &self.role {
+            Role::Leader(l) => l.authority.renews(self.now),
+            Role::Follower => self.gateway.serves(self.now),
         };
         wire::peer::View {
             node: self.settings.node.clone(),
@@ -534,6 +538,16 @@
 
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
+        let usual = self.usual_wake_s();
+        // What is overdue is noticed soon after it is.
+        if self.hedges.waits() {
+            usual.min(self.d.overdue_s / 3.0)
+        } else {
+            usual
+        }
+    }
+
+    fn usual_wake_s(&self) -> f64 {
         match &self.role {
             Role::Leader(l) if l.held.values().any(|h| !h.idle) => 0.02,
             Role::Leader(l) if l.relays.open() => self.d.relay_s.min(0.1),
@@ -545,16 +559,6 @@
 
     fn machines(&self) -> impl Iterator<Item = &machine::Machine> {
         let lead = match &self.role {
-        let usual = self.usual_wake_s();
-        // What is overdue is noticed soon after it is.
-        if self.hedges.waits() {
-            usual.min(self.d.overdue_s / 3.0)
-        } else {
-            usual
-        }
-    }
-
-    fn usual_wake_s(&self) -> f64 {
             Role::Leader(l) => Some(l),
             Role::Follower => None,
         };
@@ -684,17 +688,18 @@
             Purpose::TypesLook => self.on_types_look(r),
             Purpose::Grant => self.on_grant(r),
             Purpose::Claim { lease } => self.on_claim(lease, r),
+            Purpose::ClaimLook { lease } => self.on_claim_look(lease, r),
             Purpose::Renew { token, sent } => self.on_renew(token, sent, r),
             Purpose::Revoke | Purpose::TypesWrite => {}
             Purpose::Load { token, sent } => self.on_load(token, sent, r),
             Purpose::JobWatch { token, sent } => self.on_job_watch(token, sent, r),
-            Purpose::ClaimLook { lease } => self.on_claim_look(lease, r),
             Purpose::Commit { token, serial } => self.on_commit(token, serial, r),
             Purpose::Move { token } => self.on_move(token, r),
             Purpose::FormatLook { token } => self.on_format_look(token, r),
             Purpose::FormatWrite { token, format } => self.on_format_write(token, format, r),
             Purpose::Awaited { token, id, over } => self.on_awaited(token, &id, over, r),
             Purpose::ImagesWrite { token } => self.on_images_write(token, r),
+            Purpose::ImagesRead { token, part } => self.on_images_read(token, part, r),
             Purpose::Reread { token, key } => self.on_reread(token, &key, r),
             Purpose::Look => self.on_look(r),
             Purpose::Compare => self.on_compare(r),
@@ -707,6 +712,8 @@
             Purpose::Create { id } => self.on_create(&id, r),
             Purpose::CancelRead { id, tries, over } => self.on_cancel_read(&id, tries, over, r),
             Purpose::CancelWrite { id, tries } => self.on_cancel_write(&id, tries, r),
+            Purpose::Hedged { n } => self.on_hedged(n, r),
+            Purpose::ReadBack { n } => self.on_read_back(n, r),
             _ => {}
         }
     }
@@ -714,14 +721,13 @@
     fn on_time(&mut self) {
         self.follow_leader();
         self.users_on_time();
+        self.hedges_on_time();
         self.polls_on_time();
         self.parts_on_time();
         if self.now - self.counted_at >= self.d.renew_s {
             self.counted_at = self.now;
             self.count_workers();
             // A twelfth of a report's interval late is late for workers, too.
-            Purpose::Hedged { n } => self.on_hedged(n, r),
-            Purpose::ReadBack { n } => self.on_read_back(n, r),
             self.lateness.adjust(self.settings.params.workers.report_s / 12.0);
         }
         self.gateway_on_time();
@@ -729,7 +735,6 @@
     }
 
     pub(crate) fn lead(&mut self, token: u64) -> Option<&mut Lead> {
-        self.hedges_on_time();
         match &mut self.role {
             Role::Leader(l) if l.token == token => Some(l),
             _ => None,
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -228,6 +228,27 @@
     assert_eq!(s.writes(released, "j/"), 0);
 }
 
+/// What machines hold is stored on after the answer to one such write was lost. (The version of
+/// it that this leader knew failed for ever.)
+#[test]
+fn images_are_stored_after_a_lost_answer() {
+    let mut s = Stage::leading();
+    s.fate = lose("i/", 1);
+    for (n, image) in ["img-1", "img-2"].into_iter().enumerate() {
+        let id = format!("req-{n}");
+        s.submit(&JobSpec { image: image.into(), ..spec(&id, 1) });
+        s.run(0.5);
+        s.report(&[]);
+        for _ in 0..20 {
+            s.run(1.5);
+            s.report(&[task(&id, 0, TaskState::Running)]);
+        }
+        let named = |v: &Value| matches!(v, Value::Images(i) if i.images.iter().any(|(n, _)| n == "img-2"));
+        assert_eq!(s.store.first("i/0000", named).0.is_some(), n == 1);
+    }
+    assert!(s.writes(0.0, "i/") > 1);
+}
+
 /// Kinds of transactions whose answer was lost, with how many there were.
 fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
     let mut kinds = BTreeMap::new();
