A division of pages whose last answer is lost launches what it placed

Cause: a job divided anew counts from the write of its record. Where that write's answer was lost, only placements on pages that were read back were committed; those written before were not launched, for ever.

Change: when the record is read back with the new layout, what was stored of its pages before counts.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -570,7 +570,9 @@
         }
         self.attempt = self.attempt.max(record.attempt);
         if record.layout == self.layout.number {
-            self.layout.count_from_now();
+            if self.layout.count_from_now() {
+                self.commit_stored_pages();
+            }
             self.reconcile_page(0, &record.page);
         }
         if self.record() != *record {
@@ -578,6 +580,15 @@
         }
     }
 
+    /// Its layout counts, and with it what was written of it before. (Where the answer to the
+    /// write that named it was lost, placements on other pages stayed unlaunched.)
+    fn commit_stored_pages(&mut self) {
+        for (task, place) in self.places.iter_mut() {
+            let stored = self.page_stored.get(&self.layout.page_of(*task));
+            place.committed |= stored.is_some_and(|&count| place.born <= count);
+        }
+    }
+
     pub fn reconcile_page(&mut self, page: usize, record: &PageRecord) {
         let before = self.done_count;
         self.merge_done(page, &record.done);
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -12,7 +12,7 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use settings::NextLimits;
 use stage::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::job::*;
 use wire::worker::TaskState;
 
@@ -249,6 +249,59 @@
     assert!(s.writes(0.0, "i/") > 1);
 }
 
+/// A job is divided anew in several transactions; the answer to the one from which that counts is lost.
+/// (Placements on pages written before stayed unlaunched for ever.)
+#[test]
+fn a_division_without_an_answer_counts() {
+    let mut settings = settings();
+    let state = &mut settings.params.state;
+    (state.value_kb, state.txn_ops) = (8.0, 2);
+    state.next = Some(NextLimits { rps: None, write_rps: None, value_kb: Some(2.0), txn_ops: None });
+    let array = JobSpec { cores: 0.16, accelerators: 0.0, memory_gb: 0.1, ..spec("req-1", 200) };
+    let record = JobRecord { per_page: 200, ..JobRecord::new(array, 1e9, 8192) };
+    let mut s = Stage::with(settings, [("j/req-1".into(), Value::Job(Box::new(record)))]);
+    let state_of = |from: u32| move |n| if n < from { TaskState::Exited } else { TaskState::Running };
+    let tasks = |n: u32, state: &dyn Fn(u32) -> TaskState| -> Vec<_> {
+        (0..n).map(|n| task("req-1", n, state(n))).collect()
+    };
+    s.run(1.0);
+    let request = s.report(&[]);
+    s.run(2.5);
+    let placed = s.started(request).len() as u32;
+    assert_eq!(placed, 100);
+    s.report(&tasks(placed, &state_of(0)));
+    s.run(0.5);
+    // Some places are given while a write is on its way; from then on the job may be divided.
+    s.fate = Box::new(|op| if held(op) { Fate::Held } else { Fate::Answered });
+    for ended in [25, 50] {
+        s.report(&tasks(placed, &state_of(ended)));
+        s.run(0.6);
+    }
+    s.all_have_this_version();
+    let mut record = lose("j/", 1);
+    s.fate = Box::new(move |op| if is_watch(op) { Fate::Held } else { record(op) });
+    while s.release() {}
+    s.run(TIMEOUT_S + 0.5);
+    assert!(s.store.count("t/") > 1, "{} pages", s.store.count("t/"));
+    s.fate = Box::new(|_| Fate::Answered);
+    while s.release() {}
+    let mut started = BTreeSet::new();
+    for _ in 0..4 {
+        let request = s.report(&tasks(placed, &state_of(50)));
+        s.run(2.5);
+        started.extend(s.started(request));
+    }
+    assert_eq!(started.len(), 50);
+}
+
+fn is_watch(op: &StateOp) -> bool {
+    matches!(op, StateOp::Watch { prefix, .. } if prefix == "j")
+}
+
+fn held(op: &StateOp) -> bool {
+    is_watch(op) || writes(op, "j/")
+}
+
 /// Kinds of transactions whose answer was lost, with how many there were.
 fn kinds(sim: &Sim) -> BTreeMap<&'static str, usize> {
     let mut kinds = BTreeMap::new();
