A submission in parts while a new leader reads is no damaged one

Cause: parts are listed before records, so of a job submitted in between the parts were missing, and it was taken for unreadable: the watch then brought it and it ran, but its tasks were neither stopped nor cleared, and their machines took no other work.

Change: what is newer than the first page that was read is left to the watch.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -696,7 +696,10 @@
                     let id = record.spec.id.clone();
                     let ended = record.status.is_final();
                     if !l.parts.complete(&mut record) && !ended {
-                        l.unread.note(&item.key);
+                        // What was submitted since reading began the watch shows with its parts.
+                        if l.load_revision.is_none_or(|began| item.version <= began) {
+                            l.unread.note(&item.key);
+                        }
                         continue;
                     }
                     let since = now - (wall - record.at).max(0.0);
@@ -789,7 +792,6 @@
         }
     }
 
-                self.see_own_write(token, &e.events);
     pub(crate) fn on_job_watch(&mut self, token: u64, sent: Time, r: StateReply) {
         let now = self.now;
         let retry = self.d.renew_s / 4.0;
@@ -801,6 +803,7 @@
                 l.watch.revision = l.watch.revision.max(Some(e.revision));
                 self.note_events(&e);
                 self.polls.extend(before, e.revision, now);
+                self.see_own_write(token, &e.events);
                 for event in e.events {
                     if let Event::Put { key, value, version } = event {
                         self.saw_record(&key, value, version);
@@ -829,14 +832,14 @@
             self.finals.put(id, record.status, record.done);
         }
         let Role::Leader(l) = &mut self.role else { return };
-        if l.writes.unsettled(id) {
-            l.deferred.push_back((key.to_string(), Value::Job(record), version));
-            return;
         // (Where the answer to its move was lost, a job's earlier record was once taken for a live
         // job's, and its tasks were placed.)
         if l.archive.departed.covers(id, version) {
             return;
         }
+        if l.writes.unsettled(id) {
+            l.deferred.push_back((key.to_string(), Value::Job(record), version));
+            return;
         }
         // Its own job's specification is known here, another's lies in parts.
         let known = l.jobs.contains_key(id) || record.status.is_final() || !record.spec.class.is_empty();
@@ -918,10 +921,10 @@
         let Role::Leader(l) = &mut self.role else { return };
         if l.loaded && l.deferred.is_empty() {
             l.authority.carried_out();
+            l.archive.departed.passed(l.watch.revision.unwrap_or(0));
         }
     }
 
-            l.archive.departed.passed(l.watch.revision.unwrap_or(0));
     /// A cancellation went through at this node: the leader need not wait for
     /// its watch, but it takes the record as stored.
     pub(crate) fn cancelled_here(&mut self, id: &str) {
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -2,7 +2,6 @@
 //! (`docs/safety.md`, "Where troubles meet").
 
 mod common;
-#[allow(dead_code)]
 mod stage;
 
 use anisecroft_testkit::{Fault, Setup, Sim};
@@ -249,6 +248,29 @@
     assert!(s.writes(0.0, "i/") > 1);
 }
 
+/// A job in parts that is submitted while a new leader reads is no damaged one: its
+/// machine takes other work. (It took none, and the job could not be stopped.)
+#[test]
+fn a_submission_in_parts_while_records_are_read_is_whole() {
+    let names = (0..40).map(|n| format!("{}{n}", "type-with-a-long-name-".repeat(4)));
+    let spec_1 = JobSpec { types: Some(names.chain(["big".to_string()]).collect()), ..spec("req-1", 1) };
+    let (record, parts) = JobRecord::new(spec_1, 1e9, 2048).split("1-1".into(), 2048);
+    let mut s = Stage::new();
+    s.before_list =
+        Some(("j/", parts.into_iter().chain([("j/req-1".into(), Value::Job(Box::new(record)))]).collect()));
+    s.run(1.0);
+    let request = s.report(&[]);
+    s.run(0.5);
+    assert_eq!(s.started(request), ["req-1/0"]);
+    let running = [task("req-1", 0, TaskState::Running)];
+    s.report(&running);
+    s.submit(&spec("req-2", 1));
+    s.run(0.5);
+    let request = s.report(&running);
+    s.run(2.0);
+    assert_eq!(s.started(request), ["req-2/0"]);
+}
+
 /// A job is divided anew in several transactions; the answer to the one from which that counts is lost.
 /// (Placements on pages written before stayed unlaunched for ever.)
 #[test]
