--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -27,6 +27,29 @@
     pub keys: Vec<String>,
 }
 
+/// Jobs whose record has left those that run, with a revision as of which it was gone: what the
+/// watch shows of them from before is over. No record comes back.
+#[derive(Default)]
+pub struct Departed {
+    gone_at: BTreeMap<String, u64>,
+}
+
+impl Departed {
+    pub fn note(&mut self, id: &str, revision: u64) {
+        self.gone_at.insert(id.to_string(), revision);
+    }
+
+    /// Whether a record of job `id` in that version is over.
+    pub fn covers(&self, id: &str, version: u64) -> bool {
+        self.gone_at.get(id).is_some_and(|gone_at| version <= *gone_at)
+    }
+
+    /// The watch has shown all up to `revision`, and all of that was carried out.
+    pub fn passed(&mut self, revision: u64) {
+        self.gone_at.retain(|_, gone_at| *gone_at > revision);
+    }
+}
+
 #[derive(Default)]
 pub struct Archive {
     /// The format that every node reads, and the version of its key; None: not known yet.
@@ -38,6 +61,7 @@
     /// What stays as long as a live job's record names it: the next leader has to learn
     /// how it ended without a read for each.
     pub held: BTreeMap<String, Finished>,
+    pub departed: Departed,
     /// Keys of layouts that count no more.
     stale: Vec<String>,
     /// Those of them that are being deleted.
@@ -218,9 +242,10 @@
     }
 
     /// Its record has left those that run: it is over, and nothing is left of it.
-    pub(crate) fn has_moved(&mut self, id: &str) {
+    pub(crate) fn has_moved(&mut self, id: &str, revision: u64) {
         self.tell_over(id);
         let Role::Leader(l) = &mut self.role else { return };
+        l.archive.departed.note(id, revision);
         if let Some(job) = l.jobs.remove(id) {
             self.finals.put(id, job.status, job.done_count);
         }
@@ -354,10 +379,25 @@
             StateReply::Conflict(c) if c.failed.iter().any(|k| k == LEADER_KEY) => {
                 self.step_down("leader key is another's");
             }
-            // It only helps the next leader; the versions tell later.
+            // An earlier one may have been carried out without an answer. (The version known
+            // here then failed for ever, and no other part had its turn.)
+            StateReply::Conflict(_) | StateReply::Unknown => {
+                l.archive.images_at = now + every;
+                let purpose = Purpose::ImagesRead { token, part: n };
+                self.state(purpose, StateOp::Get(images_key(n)));
+            }
+            // It only helps the next leader.
             _ => l.archive.images_at = now + every,
         }
     }
+
+    /// A part of the machines' images as it is stored.
+    pub(crate) fn on_images_read(&mut self, token: u64, part: usize, r: StateReply) {
+        let Some(l) = self.lead(token) else { return };
+        if let StateReply::Item(Item { value: Value::Images(record), version, .. }) = r {
+            l.archive.read_images(part, record, version);
+        }
+    }
 }
 
 /// The changes that move a job which has just ended.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,11 +5,13 @@
 mod authority;
 mod beside;
 mod bound;
+mod claim;
 mod commit;
 mod deaf;
 mod early;
 mod fleet;
 mod floors;
+mod hedge;
 pub mod io;
 mod job;
 mod kin;
@@ -23,6 +25,7 @@
 mod polls;
 pub mod record;
 mod relaying;
+mod round_trip;
 mod stops;
 mod unread;
 mod urgency;
@@ -99,6 +102,9 @@
     Claim {
         lease: u64,
     },
+    ClaimLook {
+        lease: u64,
+    },
     Renew {
         token: u64,
         sent: Time,
@@ -135,6 +141,10 @@
     ImagesWrite {
         token: u64,
     },
+    ImagesRead {
+        token: u64,
+        part: usize,
+    },
     Reread {
         token: u64,
         key: String,
@@ -175,6 +185,13 @@
         id: String,
         tries: u32,
     },
+    /// A copy of a transaction that users wait for, and what it writes.
+    Hedged {
+        n: u64,
+    },
+    ReadBack {
+        n: u64,
+    },
     TypesWrite,
     CloudTypes {
         token: u64,
@@ -197,6 +214,12 @@
     Relay,
 }
 
+/// A call on its way.
+pub(crate) struct Call {
+    sent: Time,
+    purpose: Purpose,
+}
+
 /// Final states may be served from memory: they never change.
 #[derive(Default)]
 pub(crate) struct Finals {
@@ -295,7 +318,7 @@
     /// Time of day, in seconds.
     pub(crate) wall: f64,
     next_call: CallId,
-    pub(crate) calls: BTreeMap<CallId, Purpose>,
+    pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) out: Vec<Output>,
     pub(crate) role: Role,
     /// Leader as last read: node name and token.
@@ -303,6 +326,8 @@
     pub(crate) predecessor: leader::Predecessor,
     pub(crate) leader_watch: leader::Follow,
     pub(crate) claiming: bool,
+    /// What is on its way.
+    pub(crate) claim: Option<claim::Claim>,
     pub(crate) claim_at: Time,
     pub(crate) types: Option<Vec<MachineType>>,
     pub(crate) types_look_at: Time,
@@ -311,6 +336,9 @@
     pub(crate) polls: polls::Polls,
     pub(crate) reads: Budget,
     pub(crate) writes: Budget,
+    /// How long the state service takes, and users' transactions on their way to it.
+    pub(crate) round_trip: round_trip::RoundTrip,
+    pub(crate) hedges: hedge::Hedges,
     /// What the state service takes, and which version every node has.
     pub(crate) limits: limits::Limits,
     pub(crate) versions: versions::Versions,
@@ -348,6 +376,8 @@
         let mut d = Derived::from(&settings);
         d.tick_s = operator.tick_s.unwrap_or(d.tick_s);
         let nodes = f64::from(settings.params.nodes.max(1));
+        let reads = settings.params.state.rps * 0.8 / nodes;
+        let writes = settings.params.state.write_rps * users::MOST_WRITES;
         let mut rng = SmallRng::seed_from_u64(seed);
         Core {
             guards: Guards::default(),
@@ -371,6 +401,7 @@
             predecessor: leader::Predecessor::default(),
             leader_watch: leader::Follow::default(),
             claiming: false,
+            claim: None,
             claim_at: 0.0,
             types: None,
             types_look_at: 0.0,
@@ -379,8 +410,10 @@
             polls: polls::Polls::default(),
             // Users' reads and writes at one node may take their share of
             // four fifths; the rest is for renewals, watches and the leader.
-            reads: Budget::new(settings.params.state.rps * 0.8 / nodes),
-            writes: Budget::new(settings.params.state.write_rps * users::MOST_WRITES),
+            reads: Budget::new(reads),
+            writes: Budget::new(writes),
+            round_trip: round_trip::RoundTrip::default(),
+            hedges: hedge::Hedges::new(reads, writes),
             limits: limits::Limits::new(&settings.params.state),
             versions: versions::Versions::default(),
             parts_again: Vec::new(),
@@ -409,19 +442,14 @@
             Input::Tick => {}
             Input::Request(id, r) => self.on_request(id, r),
             Input::State(call, reply) => {
-                if let Some(p) = self.calls.remove(&call) {
-                    if matches!(reply, StateReply::Refused | StateReply::Unknown) {
-                        self.state_bad_since.get_or_insert(self.now);
-                    } else {
-                        self.state_ok_at = self.now;
-                        self.state_bad_since = None;
-                    }
-                    self.on_state(p, reply);
+                if let Some(c) = self.calls.remove(&call) {
+                    self.note_answer(&c, &reply);
+                    self.on_state(c.purpose, reply);
                 }
             }
             Input::Cloud(call, reply) => {
-                if let Some(p) = self.calls.remove(&call) {
-                    self.on_cloud(p, reply);
+                if let Some(c) = self.calls.remove(&call) {
+                    self.on_cloud(c.purpose, reply);
                 }
             }
             Input::Peer(view) => {
@@ -440,7 +468,8 @@
                 }
             }
             Input::Worker(call, reply) => {
-                if let Some(Purpose::Direct { token, machine, session }) = self.calls.remove(&call) {
+                let purpose = self.calls.remove(&call).map(|c| c.purpose);
+                if let Some(Purpose::Direct { token, machine, session }) = purpose {
                     self.on_direct(token, &machine, session, reply);
                 }
             }
@@ -449,6 +478,20 @@
         std::mem::take(&mut self.out)
     }
 
+    /// The state service answered a call, or did not.
+    fn note_answer(&mut self, c: &Call, r: &StateReply) {
+        self.hedges.note(r);
+        if matches!(r, StateReply::Refused | StateReply::Unknown) {
+            self.state_bad_since.get_or_insert(self.now);
+            return;
+        }
+        (self.state_ok_at, self.state_bad_since) = (self.now, None);
+        // Watches wait for changes.
+        if !matches!(r, StateReply::Events(_)) {
+            self.round_trip.note(self.now - c.sent);
+        }
+    }
+
     /// A timer of this node fired `late` seconds after it was due.
     pub fn note_lateness(&mut self, late: f64) {
         self.lateness.note(late);
@@ -498,6 +541,16 @@
 
     /// When `Tick` is due next if nothing else happens.
     pub fn wake_s(&self) -> f64 {
+        let usual = self.usual_wake_s();
+        // What is overdue is noticed soon after it is.
+        if self.hedges.waits() {
+            usual.min(self.d.overdue_s / 3.0)
+        } else {
+            usual
+        }
+    }
+
+    fn usual_wake_s(&self) -> f64 {
         match &self.role {
             Role::Leader(l) if l.held.values().any(|h| !h.idle) => 0.02,
             Role::Leader(l) if l.relays.open() => self.d.relay_s.min(0.1),
@@ -581,7 +634,7 @@
     pub(crate) fn call_id(&mut self, purpose: Purpose) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
-        self.calls.insert(id, purpose);
+        self.calls.insert(id, Call { sent: self.now, purpose });
         id
     }
 
@@ -638,6 +691,7 @@
             Purpose::TypesLook => self.on_types_look(r),
             Purpose::Grant => self.on_grant(r),
             Purpose::Claim { lease } => self.on_claim(lease, r),
+            Purpose::ClaimLook { lease } => self.on_claim_look(lease, r),
             Purpose::Renew { token, sent } => self.on_renew(token, sent, r),
             Purpose::Revoke | Purpose::TypesWrite => {}
             Purpose::Load { token, sent } => self.on_load(token, sent, r),
@@ -648,6 +702,7 @@
             Purpose::FormatWrite { token, format } => self.on_format_write(token, format, r),
             Purpose::Awaited { token, id, over } => self.on_awaited(token, &id, over, r),
             Purpose::ImagesWrite { token } => self.on_images_write(token, r),
+            Purpose::ImagesRead { token, part } => self.on_images_read(token, part, r),
             Purpose::Reread { token, key } => self.on_reread(token, &key, r),
             Purpose::Look => self.on_look(r),
             Purpose::Compare => self.on_compare(r),
@@ -660,6 +715,8 @@
             Purpose::Create { id } => self.on_create(&id, r),
             Purpose::CancelRead { id, tries, over } => self.on_cancel_read(&id, tries, over, r),
             Purpose::CancelWrite { id, tries } => self.on_cancel_write(&id, tries, r),
+            Purpose::Hedged { n } => self.on_hedged(n, r),
+            Purpose::ReadBack { n } => self.on_read_back(n, r),
             _ => {}
         }
     }
@@ -667,6 +724,7 @@
     fn on_time(&mut self) {
         self.follow_leader();
         self.users_on_time();
+        self.hedges_on_time();
         self.polls_on_time();
         self.parts_on_time();
         if self.now - self.counted_at >= self.d.renew_s {
--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -200,7 +200,7 @@
             put(FORMAT_KEY.into(), Value::Format(FORMAT)),
         ];
         if !course.lead {
-            let leader = LeaderRecord { node: "elsewhere".into(), at: 0.0, again: 0 };
+            let leader = LeaderRecord { node: "elsewhere".into(), at: 0.0, again: 0, lease: 0 };
             first.push(put(LEADER_KEY.into(), Value::Leader(leader)));
         }
         store.execute(0.0, &StateOp::Commit(Txn { conditions: vec![], changes: first }));
