--- a/crates/core/src/bound.rs
+++ b/crates/core/src/bound.rs
@@ -67,8 +67,10 @@
     pub zoned: BTreeMap<(Pool, String), u32>,
     /// Machines, by type and zone, that gangs wait for the others of.
     pub gathering: BTreeMap<(String, String), u32>,
-    /// Machines that bound work needs, those that are coming included, by pool.
+    /// Machines that are coming for bound work, and those that it wants more, by pool. (What it wants
+    /// in one zone is no reason to keep what stands idle in another.)
     pub need: BTreeMap<Pool, f64>,
+    pub more: BTreeMap<Pool, u32>,
 }
 
 impl<'a> Bound<'a> {
@@ -106,7 +108,7 @@
                 let machines = (left.min(*most) / n).ceil();
                 if machines > 0.0 {
                     *self.zoned.entry((pool.clone(), zone.clone())).or_insert(0) += machines as u32;
-                    *self.need.entry(pool.clone()).or_insert(0.0) += machines;
+                    *self.more.entry(pool.clone()).or_insert(0) += machines as u32;
                     let tasks = (machines * n).min(left).min(*most);
                     (left, *most) = (left - tasks, *most - tasks);
                 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -346,7 +346,7 @@
         let lease_s = self.settings.params.workers.lease_s;
         let silent_s = self.d.silent_s / 2.0;
         let prompt = self.prompt_classes();
-        let asleep = self.guards.asleep;
+        let (asleep, bound) = (self.guards.asleep, self.guards.bound);
         let Role::Leader(l) = &mut self.role else { return };
         let (since, reach) = (l.since, &l.fleet.reach);
         // Nobody could give it work before. (After an outage whatever stood idle was once given
@@ -409,7 +409,11 @@
         for (_, id, prompt) in idle {
             let Some(m) = l.machines.get_mut(&id) else { continue };
             let waits = gathering.get_mut(&(m.machine_type.clone(), m.zone.clone()));
-            if let Some(n) = waits.filter(|n| **n > 0) {
+            // Not beyond the time in which the others would have come. (What could never be whole
+            // once kept the last machines to be had from others for ever.)
+            let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
+            let in_time = !bound || now - m.idle_since < boot * own.boot_stuck;
+            if let Some(n) = waits.filter(|n| **n > 0 && in_time) {
                 *n -= 1;
                 continue;
             }
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -136,6 +136,8 @@
 const MOST_TASKS: usize = 256;
 /// Most jobs that one planning round looks at.
 const MOST_JOBS: usize = 1000;
+/// Most sorts of jobs that nobody waits for of which one plan finds that no place is free for them.
+const MOST_FRUITLESS: usize = 16;
 /// Steps of planning that a whole core may be asked for in a second. A step takes
 /// about a twelfth of a microsecond (measured), so planning stays within a sixth of the
 /// share. A fifth of this figure let plans come every half second under a backlog.
@@ -353,16 +355,33 @@
             fits(t.cores_left, s.cores) && fits(t.accelerators_left, s.accelerators)
         };
         open_jobs.sort_by_key(|j| std::cmp::Reverse((under_limit(j.1, &j.3.spec), j.0.band)));
+        let free_for = |s: &JobSpec, m: &plan::Machine| {
+            let kind = s.types.as_ref().is_none_or(|l| l.contains(&types[m.kind].name));
+            let there = s.zone.as_ref().is_none_or(|z| *z == zones[m.zone]) && (s.spot || !m.spot);
+            kind && there && m.ready <= now && m.free.holds(&needs(s))
+        };
+        let alike = |a: &JobSpec, b: &JobSpec| {
+            (needs(a), &a.types, &a.zone, a.spot) == (needs(b), &b.types, &b.zone, b.spot)
+        };
+        let mut fruitless: Vec<&JobSpec> = Vec::new();
         for (urgent, team, id, job) in open_jobs.into_iter().take(MOST_JOBS) {
             let s = &job.spec;
             let is_guaranteed = guaranteed.contains(id.as_str());
             let leftover = self.leftover(s) && !is_guaranteed && !urgent.needed;
             let suspect = job.suspect();
-            // What nobody waits for gets one place that is free anyway in the end.
+            // What nobody waits for gets one place that is free anyway in the end, if there is one.
             let left_over_long = leftover
                 && self.guards.beside
                 && job.places.is_empty()
-                && now - job.since > self.d.lying_s / 2.0;
+                && now - job.since > self.d.lying_s / 2.0
+                && !fruitless.iter().any(|f| alike(f, s))
+                && fruitless.len() < MOST_FRUITLESS
+                && {
+                    let free = machines.iter().any(|m| free_for(s, m));
+                    fruitless.extend(Some(s).filter(|_| !free));
+                    steps += machines.len() as u64;
+                    free
+                };
             let (leftover, probe) = (leftover && !left_over_long, suspect || left_over_long);
             let waiting = match (probe, s.shape) {
                 (true, Shape::Array | Shape::Service) if !job.places.is_empty() => continue,
@@ -611,6 +630,7 @@
             zoned: BTreeMap::new(),
             gathering: BTreeMap::new(),
             need: BTreeMap::new(),
+            more: BTreeMap::new(),
         };
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         for u in &made.unmet {
@@ -662,7 +682,7 @@
                 }
             }
         }
-        let Bound { zoned, gathering, need: bound, .. } = bound;
+        let Bound { zoned, gathering, need: bound, more, .. } = bound;
         for (pool, n) in bound {
             *need.entry(pool).or_insert(0.0) += n;
         }
@@ -729,7 +749,8 @@
         }
         for (pool, n) in in_zones.into_iter().filter(|(_, n)| *n > 0) {
             let w = wanted.entry(pool.clone()).or_insert(0);
-            *w = (*w).max(n);
+            let more = more.get(pool).copied().unwrap_or(0);
+            *w = (*w).max(n - more) + more;
         }
         l.fleet.zoned = zoned;
         l.fleet.gathering = gathering;
