Answers in any order also with leaders, machines and tasks of their own

Cause: where the nodes of the any-order test led themselves, no task ever ran, so no end and no mark met what users are told. The world is a module of its own.

--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -1,515 +1,24 @@
 //! What users are told, at every node, by the time each question was sent: nothing older than
 //! what any node has told of that job before (`docs/safety.md`, `went_back`).
 
+mod anyorder;
 mod common;
 
 use anisecroft_testkit::sim::LookCounts;
-use anisecroft_testkit::state::Store;
 use anisecroft_testkit::{Fault, Setup, Sim};
+use anyorder::*;
 use common::{setup, unlimited};
 use engine::record::*;
 use engine::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use serde::Serialize;
-use settings::{NextLimits, Operator, Peer, Settings};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::ops::Range;
 use wire::cloud::MachineType;
 use wire::job::*;
-use wire::state::{Change, Condition, Txn};
+use wire::state::{Change, Txn};
 use wire::worker::{task_name, ExitCause, Report, TaskReport, TaskState};
 
-const NAMES: [&str; 5] = ["n-0", "n-1", "n-2", "n-3", "n-4"];
-
-fn spec(id: &str) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "work".into(),
-        team: "dispatch".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks: 3,
-        cores: 1.0,
-        accelerators: 1.0,
-        memory_gb: 1.0,
-        image: "img-1".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: None,
-        awaits: Vec::new(),
-    }
-}
-
-fn big() -> MachineType {
-    MachineType {
-        name: "big".into(),
-        cores: 16.0,
-        accelerators: 4.0,
-        memory_gb: 64.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 4.0,
-        spot_price: 1.5,
-        boot_s: 10.0,
-        zones: vec!["a".into(), "b".into()],
-    }
-}
-
-/// KiB of a value under the limits to come, and the bytes that are used of it.
-const TIGHT_KB: f64 = 2.0;
-const TIGHT: usize = 1984;
-
-/// Node `n` of `nodes`, whose limits will fall.
-fn settings(n: usize, nodes: usize) -> Settings {
-    let mut s = Settings::parse(include_str!("../../../docs/example.toml")).unwrap();
-    s.node = NAMES[n].into();
-    let peer = |name: &&str| Peer { node: (*name).into(), zone: String::new(), addr: s.peer_listen };
-    s.peers = NAMES[..nodes].iter().filter(|m| **m != NAMES[n]).map(peer).collect();
-    s.params.nodes = nodes as u32;
-    let state = &mut s.params.state;
-    state.value_kb = 64.0;
-    state.next = Some(NextLimits { value_kb: Some(TIGHT_KB), ..NextLimits::default() });
-    s
-}
-
-fn put(key: String, value: Value) -> Change<Value> {
-    Change::Put { key, value, lease: None }
-}
-
-fn holds(key: String, version: u64) -> Condition {
-    Condition { key, version }
-}
-
-/// Gives a record a placement with which it takes so many bytes.
-fn pad(record: &mut JobRecord, bytes: usize) {
-    let place = |machine: String| vec![StoredPlacement { task: 0, attempt: 1, machine }];
-    record.page.places = place(String::new());
-    record.page.places = place("m".repeat(bytes - json_size(record)));
-}
-
-/// What a user was told of a job, in the order in which it may be told.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Told {
-    Nothing,
-    Accepted,
-    Over(JobStatus),
-}
-
-impl Told {
-    fn rank(self) -> u8 {
-        match self {
-            Told::Nothing => 0,
-            Told::Accepted => 1,
-            Told::Over(_) => 2,
-        }
-    }
-    /// Whether this may be told once `before` was.
-    fn may_follow(self, before: Told) -> bool {
-        let changed = matches!((before, self), (Told::Over(a), Told::Over(b)) if a != b);
-        self.rank() >= before.rank() && !changed
-    }
-}
-
-/// What was brought about, so that no run shows nothing.
-#[derive(Default, Debug)]
-struct Met {
-    /// Questions at all nodes in the moment of an answer that told something new.
-    close: u64,
-    /// Submissions of jobs that were accepted before, and those that are not well formed.
-    repeated: u64,
-    odd: u64,
-    cancelled: u64,
-    /// Cancellations by marks, and those told of a job by the ones before it.
-    marks: u64,
-    lineage: u64,
-    done: u64,
-    moved: u64,
-    /// Copies that had to be read again, returns with nothing in memory, late writes, lost answers.
-    gone: u64,
-    returns: u64,
-    late: u64,
-    lost: u64,
-}
-
-impl Met {
-    fn add(&mut self, m: &Met) {
-        self.close += m.close;
-        self.repeated += m.repeated;
-        self.odd += m.odd;
-        self.cancelled += m.cancelled;
-        self.marks += m.marks;
-        self.lineage += m.lineage;
-        self.done += m.done;
-        self.moved += m.moved;
-        self.gone += m.gone;
-        self.returns += m.returns;
-        self.late += m.late;
-        self.lost += m.lost;
-    }
-}
-
-/// How much goes wrong.
-#[derive(Clone, Copy)]
-struct Course {
-    nodes: usize,
-    ids: usize,
-    /// The nodes lead themselves; else another does, which is played here.
-    lead: bool,
-    trouble: bool,
-}
-
-struct World {
-    course: Course,
-    rng: SmallRng,
-    now: f64,
-    cores: Vec<Core>,
-    starts: Vec<u64>,
-    store: Store,
-    /// Calls on their way to the store, and replies on their way back, with the start of the
-    /// node that they are of.
-    calls: Vec<(usize, u64, CallId, StateOp)>,
-    replies: Vec<(usize, u64, CallId, StateReply)>,
-    /// Transactions that have been given up and are carried out some time.
-    overdue: Vec<StateOp>,
-    /// Open questions: job, and what had been told when it was sent.
-    open: BTreeMap<(usize, RequestId), (String, Told)>,
-    told: BTreeMap<String, Told>,
-    /// The statuses of all answers, by job.
-    statuses: BTreeMap<String, Vec<u16>>,
-    submitted: BTreeSet<String>,
-    cancel_asked: BTreeSet<String>,
-    /// Jobs of which something new was told just now.
-    news: Vec<String>,
-    next: RequestId,
-    met: Met,
-    broken: Option<String>,
-}
-
-impl World {
-    fn new(seed: u64, course: Course) -> Self {
-        let mut store = Store::default();
-        let mut first = vec![
-            put(TYPES_KEY.into(), Value::Types(vec![big()])),
-            put(FORMAT_KEY.into(), Value::Format(FORMAT)),
-        ];
-        if !course.lead {
-            let leader = LeaderRecord { node: "elsewhere".into(), at: 0.0, again: 0 };
-            first.push(put(LEADER_KEY.into(), Value::Leader(leader)));
-        }
-        store.execute(0.0, &StateOp::Commit(Txn { conditions: vec![], changes: first }));
-        let mut w = World {
-            course,
-            rng: SmallRng::seed_from_u64(seed),
-            now: 0.0,
-            cores: Vec::new(),
-            starts: vec![0; course.nodes],
-            store,
-            calls: vec![],
-            replies: vec![],
-            overdue: vec![],
-            open: BTreeMap::new(),
-            told: BTreeMap::new(),
-            statuses: BTreeMap::new(),
-            submitted: BTreeSet::new(),
-            cancel_asked: BTreeSet::new(),
-            news: vec![],
-            next: 0,
-            met: Met::default(),
-            broken: None,
-        };
-        w.cores = (0..course.nodes).map(|n| w.core(n)).collect();
-        w.exchange_views();
-        w
-    }
-
-    fn core(&mut self, n: usize) -> Core {
-        Core::new(settings(n, self.course.nodes), Operator::default(), self.rng.gen())
-    }
-
-    fn exchange_views(&mut self) {
-        for a in 0..self.cores.len() {
-            let view = self.cores[a].view_for_peers();
-            for b in (0..self.cores.len()).filter(|b| *b != a) {
-                self.feed(b, Input::Peer(view.clone()));
-            }
-        }
-    }
-
-    fn feed(&mut self, n: usize, input: Input) {
-        for o in self.cores[n].handle(self.now, 1e9 + self.now, input) {
-            match o {
-                Output::Answer(id, a) => self.answered(n, id, &a),
-                Output::State(call, op) => self.calls.push((n, self.starts[n], call, op)),
-                _ => {}
-            }
-        }
-    }
-
-    fn spec(&self, id: &str) -> JobSpec {
-        // Every third waits for the one before it, which may wait itself.
-        let n: usize = id[4..].parse().unwrap();
-        let before = (n % 3 != 0).then(|| format!("req-{}", n - 1));
-        JobSpec { awaits: before.into_iter().collect(), ..spec(id) }
-    }
-
-    /// A job and all that it waits for.
-    fn chain(&self, id: &str) -> Vec<String> {
-        let mut all = vec![id.to_string()];
-        while let Some(a) = self.spec(&all[all.len() - 1]).awaits.pop() {
-            all.push(a);
-        }
-        all
-    }
-
-    fn ask(&mut self, n: usize, id: &str, r: Request) {
-        self.next += 1;
-        let told = self.told.get(id).copied().unwrap_or(Told::Nothing);
-        match &r {
-            Request::Submit(_) => {
-                self.submitted.insert(id.to_string());
-                self.met.repeated += u64::from(told != Told::Nothing);
-            }
-            Request::Cancel(_) => {
-                self.cancel_asked.insert(id.to_string());
-            }
-            _ => {}
-        }
-        self.open.insert((n, self.next), (id.to_string(), told));
-        self.feed(n, Input::Request(self.next, r));
-    }
-
-    fn break_rule(&mut self, what: String) {
-        self.broken.get_or_insert(what);
-    }
-
-    fn answered(&mut self, n: usize, id: RequestId, a: &Answer) {
-        let Some((job, then)) = self.open.remove(&(n, id)) else { return };
-        self.statuses.entry(job.clone()).or_default().push(a.status);
-        let said = match a.status {
-            200 | 201 => {
-                let v: JobView = wire::decode(&a.body).unwrap();
-                if v.status.is_final() {
-                    Told::Over(v.status)
-                } else {
-                    Told::Accepted
-                }
-            }
-            400 | 404 | 422 => Told::Nothing,
-            _ => return,
-        };
-        let known = self.told.get(&job).copied().unwrap_or(Told::Nothing);
-        let asked = self.chain(&job).iter().any(|j| self.cancel_asked.contains(j));
-        let changed = matches!((known, said), (Told::Over(x), Told::Over(y)) if x != y);
-        if !said.may_follow(then) || changed {
-            self.break_rule(format!(
-                "{job}: {then:?} when asked, {known:?} now, said {said:?} ({})",
-                a.status
-            ));
-        }
-        if said != Told::Nothing && !self.submitted.contains(&job) {
-            self.break_rule(format!("{job} was invented"));
-        }
-        if said == Told::Over(JobStatus::Cancelled) && !asked {
-            self.break_rule(format!("{job} was not cancelled"));
-        }
-        if said.rank() <= known.rank() {
-            return;
-        }
-        self.told.insert(job.clone(), said);
-        if said == Told::Over(JobStatus::Cancelled) {
-            self.met.cancelled += 1;
-            self.met.lineage += u64::from(!self.cancel_asked.contains(&job));
-        }
-        self.met.done += u64::from(said == Told::Over(JobStatus::Done));
-        self.news.push(job);
-    }
-
-    /// At all nodes at once: questions, and repeated submissions or cancellations among them.
-    fn ask_everywhere(&mut self, id: &str) {
-        let cancels = self.rng.gen_bool(0.3);
-        for n in 0..self.cores.len() {
-            self.met.close += 1;
-            let r = match self.rng.gen_range(0..6) {
-                0 => Request::Submit(wire::encode(&self.spec(id))),
-                1 => self.odd(id),
-                2 if cancels => Request::Cancel(id.to_string()),
-                _ => Request::Poll(id.to_string()),
-            };
-            self.ask(n, id, r);
-        }
-    }
-
-    /// A submission that no new job may be made of.
-    fn odd(&mut self, id: &str) -> Request {
-        self.met.odd += 1;
-        let s = self.spec(id);
-        let odd = match self.rng.gen_range(0..6) {
-            0 => JobSpec { cores: f64::NAN, ..s },
-            1 => JobSpec { tasks: 0, ..s },
-            2 => JobSpec { team: "nobody".into(), ..s },
-            3 => JobSpec { types: Some(vec!["gone".into()]), ..s },
-            4 => JobSpec { awaits: vec![id.to_string()], ..s },
-            _ => JobSpec { awaits: vec!["req-77777".into()], ..s },
-        };
-        Request::Submit(wire::encode(&odd))
-    }
-
-    /// Another leader's turn with job `id`: what it stores is conditional on what it knows, which
-    /// is all that there is.
-    fn lead(&mut self, id: &str) {
-        let get = |s: &mut Store, key: String| match s.execute(0.0, &StateOp::Get(key)) {
-            Some(StateReply::Item(i)) => Some((i.value, i.version)),
-            _ => None,
-        };
-        let Some((Value::Job(j), version)) = get(&mut self.store, job_key(id)) else { return };
-        let mark = get(&mut self.store, mark_key(id));
-        let mut conditions = vec![holds(job_key(id), version)];
-        conditions.push(holds(mark_key(id), mark.as_ref().map_or(0, |m| m.1)));
-        let mut fates = j.awaits().iter().map(|a| {
-            let stored = get(&mut self.store, job_key(a)).or_else(|| get(&mut self.store, over_key(a)));
-            match stored {
-                Some((Value::Job(j), _)) => j.status,
-                Some((Value::Over(o), _)) => o.status,
-                _ => JobStatus::Pending,
-            }
-        });
-        let before = fates.next();
-        let cancelled = mark.is_some() || before == Some(JobStatus::Cancelled);
-        let waits = before.is_some_and(|s| s != JobStatus::Done);
-        let mut changes = Vec::new();
-        if j.status.is_final() {
-            let over = OverRecord { status: j.status, done: j.done, at: j.at };
-            changes = vec![Change::Delete { key: job_key(id) }, put(over_key(id), Value::Over(over))];
-            self.met.moved += 1;
-        } else if cancelled {
-            let record = JobRecord { status: JobStatus::Cancelled, page: PageRecord::default(), ..*j };
-            changes.push(put(job_key(id), Value::Job(Box::new(record))));
-            changes.extend(mark.map(|_| Change::Delete { key: mark_key(id) }));
-            // A cancelled job's place in the line may be stored late.
-            if self.rng.gen_bool(0.7) {
-                return;
-            }
-        } else if !waits {
-            let freed_at = before.map(|_| 1e9 + self.now);
-            let record = match self.rng.gen_range(0..5) {
-                0 => JobRecord {
-                    status: JobStatus::Done,
-                    done: 3,
-                    page: PageRecord::default(),
-                    freed_at,
-                    ..*j
-                },
-                n => {
-                    let record = JobRecord { status: JobStatus::Running, running: n, freed_at, ..*j };
-                    self.padded(record)
-                }
-            };
-            changes.push(put(job_key(id), Value::Job(Box::new(record))));
-        }
-        if !changes.is_empty() {
-            self.store.execute(self.now, &StateOp::Commit(Txn { conditions, changes }));
-        }
-    }
-
-    /// The same with a placement such that the record is small, too large to be written again, or
-    /// just about so.
-    fn padded(&mut self, mut record: JobRecord) -> JobRecord {
-        match self.rng.gen_range(0..3) {
-            0 => {}
-            1 => pad(&mut record, TIGHT + 500),
-            _ => pad(&mut record, TIGHT - 4 + self.rng.gen_range(0..8)),
-        }
-        record
-    }
-
-    /// A call reaches the store, which carries it out, or may not, and answers, or may not.
-    fn serve(&mut self) {
-        let (n, start, call, op) = self.calls.remove(self.rng.gen_range(0..self.calls.len()));
-        let trouble = self.course.trouble;
-        let is_commit = matches!(&op, StateOp::Commit(t) if !t.changes.is_empty());
-        if let (StateOp::Commit(t), true) = (&op, is_commit) {
-            let marked =
-                |c: &Change<Value>| matches!(c, Change::Put { key, .. } if key.starts_with(MARK_PREFIX));
-            self.met.marks += u64::from(t.changes.iter().any(marked));
-        }
-        if trouble && self.rng.gen_bool(0.06) {
-            let reply = match self.rng.gen_range(0..3) {
-                0 => StateReply::Refused,
-                1 if is_commit => {
-                    self.met.late += 1;
-                    self.overdue.push(op);
-                    StateReply::Unknown
-                }
-                _ => {
-                    self.met.lost += 1;
-                    self.store.execute(self.now, &op);
-                    StateReply::Unknown
-                }
-            };
-            return self.replies.push((n, start, call, reply));
-        }
-        if trouble && matches!(op, StateOp::Watch { .. }) && self.rng.gen_bool(0.08) {
-            self.met.gone += 1;
-            return self.replies.push((n, start, call, StateReply::Gone));
-        }
-        let r = self.store.execute(self.now, &op).unwrap_or_else(|| self.store.quiet());
-        self.replies.push((n, start, call, r));
-    }
-
-    fn step(&mut self) {
-        for id in std::mem::take(&mut self.news) {
-            if self.rng.gen_bool(0.4) {
-                self.ask_everywhere(&id);
-            }
-        }
-        self.now += self.rng.gen_range(0.0..0.05);
-        let n = self.rng.gen_range(0..self.cores.len());
-        let id = format!("req-{}", self.rng.gen_range(0..self.course.ids));
-        let trouble = self.course.trouble;
-        match self.rng.gen_range(0..40) {
-            0 | 1 => self.ask(n, &id, Request::Submit(wire::encode(&self.spec(&id)))),
-            2 if self.submitted.contains(&id) && self.rng.gen_bool(0.4) => {
-                self.ask(n, &id, Request::Cancel(id.clone()));
-            }
-            3..=5 => self.ask(n, &id, Request::Poll(id.clone())),
-            6 if self.submitted.contains(&id) => {
-                let r = self.odd(&id);
-                self.ask(n, &id, r);
-            }
-            7 if trouble && self.rng.gen_bool(0.1) => self.now += self.rng.gen_range(0.0..8.0),
-            8 if trouble && self.rng.gen_bool(0.2) => {
-                // Back at once with nothing in memory.
-                self.met.returns += 1;
-                self.starts[n] += 1;
-                self.open.retain(|(m, _), _| *m != n);
-                self.cores[n] = self.core(n);
-                self.exchange_views();
-            }
-            9 if !self.overdue.is_empty() => {
-                let op = self.overdue.remove(self.rng.gen_range(0..self.overdue.len()));
-                self.store.execute(self.now, &op);
-            }
-            10..=12 if !self.course.lead => self.lead(&id),
-            13 => self.exchange_views(),
-            14..=24 if !self.calls.is_empty() => self.serve(),
-            25..=36 if !self.replies.is_empty() => {
-                let (n, start, call, r) = self.replies.remove(self.rng.gen_range(0..self.replies.len()));
-                if start == self.starts[n] {
-                    self.feed(n, Input::State(call, r));
-                }
-            }
-            _ => self.feed(n, Input::Tick),
-        }
-    }
-}
-
 fn play(seed: u64, course: Course, steps: usize) -> World {
     let mut w = World::new(seed, course);
     for _ in 0..steps {
@@ -524,7 +33,13 @@
 /// The course that `seed` stands for.
 fn course(seed: u64) -> Course {
     let ids = [1, 2, 3, 6, 9][seed as usize / 8 % 5];
-    Course { nodes: 3 + seed as usize % 2 * 2, ids, lead: seed % 8 >= 6, trouble: seed / 2 % 3 > 0 }
+    Course {
+        nodes: 3 + seed as usize % 2 * 2,
+        ids,
+        lead: seed % 8 >= 5,
+        trouble: seed / 2 % 3 > 0,
+        cancels: [0.02, 0.1, 0.4][seed as usize / 5 % 3],
+    }
 }
 
 /// Plays so many courses, with every message in any order, lost, late, or its sender ended.
@@ -554,58 +69,6 @@
     assert!(play_all(200..20_000).marks > 1000);
 }
 
-/// Whether `op` is a leader's write of job `id`.
-fn writes(op: &StateOp, id: &str) -> bool {
-    let StateOp::Commit(t) = op else { return false };
-    let led = t.conditions.iter().any(|c| c.key == LEADER_KEY);
-    led && t.conditions.iter().any(|c| c.key == job_key(id))
-}
-
-impl World {
-    /// Carries all out at once for `for_s` seconds, but for what is held.
-    fn settle(&mut self, for_s: f64, held: impl Fn(&StateOp) -> bool) {
-        let end = self.now + for_s;
-        while self.now < end {
-            self.now += 0.02;
-            let (held, due): (Vec<_>, _) =
-                std::mem::take(&mut self.calls).into_iter().partition(|c| held(&c.3));
-            self.calls = held;
-            for (n, _, call, op) in due {
-                let r = self.store.execute(self.now, &op).unwrap_or_else(|| self.store.quiet());
-                self.feed(n, Input::State(call, r));
-            }
-            (0..self.cores.len()).for_each(|n| self.feed(n, Input::Tick));
-        }
-    }
-
-    /// The node that leads and has read all records.
-    fn leader(&self) -> Option<usize> {
-        self.cores.iter().position(Core::has_loaded)
-    }
-
-    fn stored(&mut self, key: String) -> Option<Value> {
-        match self.store.execute(self.now, &StateOp::Get(key)) {
-            Some(StateReply::Item(i)) => Some(i.value),
-            _ => None,
-        }
-    }
-}
-
-/// Jobs of an earlier version, too large to be written again under the limits to come: for the
-/// places of many tasks, or for what they ask for.
-fn large() -> [JobRecord; 2] {
-    let small = JobSpec { cores: 0.1, accelerators: 0.0, memory_gb: 0.1, ..spec("req-0") };
-    let names = (0..60).map(|n| format!("{}{n}", "type-with-a-long-name-".repeat(4)));
-    let types = Some(names.chain(["big".to_string()]).collect());
-    let many = JobRecord::new(JobSpec { tasks: 100, ..small.clone() }, 1e9, 63 * 1024);
-    let long = JobRecord::new(JobSpec { types, ..small }, 1e9, TIGHT);
-    [many, long].map(|mut r| {
-        let place = |task| StoredPlacement { task, attempt: 1, machine: "vm-000001".into() };
-        r.page.places = (0..r.spec.tasks).map(place).collect();
-        r
-    })
-}
-
 /// A report of the only machine that all tasks of a job are done.
 fn all_done(job: &JobSpec, token: u64) -> Request {
     let done = |task| TaskReport {
@@ -636,7 +99,7 @@
 #[test]
 fn a_mark_beside_a_job_that_ends_counts() {
     for (nodes, record) in [3, 5].into_iter().flat_map(|n| large().map(|r| (n, r))) {
-        let mut w = World::new(1, Course { nodes, ids: 1, lead: true, trouble: false });
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: true, trouble: false, cancels: 0.0 });
         let (id, job) = ("req-0", record.spec.clone());
         let changes = vec![put(job_key(id), Value::Job(Box::new(record)))];
         w.store.execute(0.0, &StateOp::Commit(Txn { conditions: vec![], changes }));
@@ -665,7 +128,7 @@
 impl World {
     /// A job that runs, whose record takes so many bytes.
     fn running(seed: u64, nodes: usize, bytes: usize) -> Self {
-        let mut w = World::new(seed, Course { nodes, ids: 1, lead: false, trouble: false });
+        let mut w = World::new(seed, Course { nodes, ids: 1, lead: false, trouble: false, cancels: 0.0 });
         let mut record = JobRecord::new(spec("req-0"), 1e9, TIGHT);
         record.status = JobStatus::Running;
         pad(&mut record, bytes);
@@ -961,7 +424,7 @@
 #[test]
 fn what_is_odd_is_refused() {
     for nodes in [3, 5] {
-        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false });
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false, cancels: 0.0 });
         w.settle(1.0, |_| false);
         let all = submissions();
         let ids: Vec<String> = (0..all.len()).map(|n| format!("req-{}", 100 + n)).collect();
@@ -982,7 +445,7 @@
 #[test]
 fn what_is_known_is_told_whatever_it_is_submitted_as() {
     for (nodes, end) in [(3, JobStatus::Pending), (5, JobStatus::Done), (3, JobStatus::Cancelled)] {
-        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false });
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: false, trouble: false, cancels: 0.0 });
         w.settle(1.0, |_| false);
         w.ask(0, "req-0", sent(&body(), "req-0"));
         w.settle(1.0, |_| false);
