A page left of a job that has moved tells nothing of its end

Cause: a new leader that listed a page of a job whose record had moved held that job for done. Of a cancelled job that was wrong: what awaited it was let go, called accepted where other nodes called it cancelled, and could have started. Of a job that is over and has not moved, the keys of its pages took the place of those of its parts. Change: such pages are deleted as keys that count no more; others join the job's other keys.

--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -20,8 +20,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Finished {
     pub id: String,
-    /// None: its record has moved already, only other keys are left.
-    pub version: Option<u64>,
+    pub version: u64,
     pub over: OverRecord,
     /// Pages and whatever else of it is stored.
     pub keys: Vec<String>,
@@ -130,9 +129,9 @@
         f.keys.iter().take(most).map(|key| Change::Delete { key: key.clone() }).collect();
     let left: Vec<String> = f.keys.iter().skip(most).cloned().collect();
     let mut conditions = Vec::new();
-    if let (Some(version), true) = (f.version, changes.len() + 2 <= most) {
+    if changes.len() + 2 <= most {
         let (key, over) = (job_key(&f.id), over_key(&f.id));
-        conditions.push(Condition { key: key.clone(), version });
+        conditions.push(Condition { key: key.clone(), version: f.version });
         changes.push(Change::Delete { key });
         changes.push(Change::Put { key: over, value: Value::Over(f.over.clone()), lease: None });
     }
@@ -411,7 +410,7 @@
     pub fn of(job: &Job) -> Self {
         Finished {
             id: job.spec.id.clone(),
-            version: Some(job.version),
+            version: job.version,
             over: over_record(job.status, job.done_count, job.at),
             keys: job.other_keys(),
         }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -303,12 +303,14 @@
     }
 
     /// Pages of jobs that are over go with them, or by themselves if their job's
-    /// record has moved.
+    /// record has moved. (Such a job was once held for done, whatever it was, and what
+    /// awaited it was let go.)
     fn claim_strays(&mut self) {
         for (id, keys) in std::mem::take(&mut self.strays) {
-            let over = over_record(JobStatus::Done, 0, 0.0);
-            let alone = || Finished { id: id.clone(), version: None, over, keys: Vec::new() };
-            self.archive.waiting.entry(id.clone()).or_insert_with(alone).keys = keys;
+            match self.archive.waiting.get_mut(&id) {
+                Some(f) => f.keys.extend(keys),
+                None => self.archive.discard(keys),
+            }
         }
     }
 
@@ -712,7 +714,7 @@
                     if record.status.is_final() && record.page.places.is_empty() && one_page {
                         let over = over_record(record.status, record.done, record.at);
                         let keys = record.parts.iter().flat_map(|p| p.keys(&id)).collect();
-                        finals.push(Finished { id, version: Some(item.version), over, keys });
+                        finals.push(Finished { id, version: item.version, over, keys });
                     } else {
                         let submitted = now - (wall - record.at).max(0.0);
                         if record.awaits().is_empty() {
@@ -869,12 +871,7 @@
                 if record.status.is_final() && record.page.places.is_empty() {
                     let over = over_record(record.status, record.done, record.at);
                     let keys = record.parts.iter().flat_map(|p| p.keys(id)).collect();
-                    return self.finished(Finished {
-                        id: id.to_string(),
-                        version: Some(version),
-                        over,
-                        keys,
-                    });
+                    return self.finished(Finished { id: id.to_string(), version, over, keys });
                 }
                 if was_over {
                     return;
--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -238,6 +238,32 @@
     }
 }
 
+/// A page is left of a cancelled job whose record has moved. A new leader took it for one that was
+/// done, and let go what waits for it.
+#[test]
+fn a_page_left_of_a_cancelled_job_frees_nobody() {
+    for nodes in [3, 5] {
+        let mut w = World::new(1, Course { nodes, ids: 1, lead: true, trouble: false, cancels: 0.0 });
+        let over = OverRecord { status: JobStatus::Cancelled, done: 0, at: 1e9 };
+        let next = JobRecord::new(w.spec("req-4"), 1e9, TIGHT);
+        let changes = vec![
+            put(over_key("req-3"), Value::Over(over)),
+            put(page_key("req-3", 1, 0), Value::Page(PageRecord::default())),
+            put(job_key("req-4"), Value::Job(Box::new(next))),
+        ];
+        w.store.execute(0.0, &StateOp::Commit(Txn { conditions: vec![], changes }));
+        w.submitted.insert("req-4".into());
+        w.cancel_asked.insert("req-3".into());
+        for _ in 0..3 {
+            w.settle(5.0, |_| false);
+            (0..nodes).for_each(|n| w.ask(n, "req-4", Request::Poll("req-4".into())));
+        }
+        w.settle(1.0, |_| false);
+        assert_eq!(w.broken, None, "{nodes} nodes");
+        assert_eq!(w.told.get("req-4"), Some(&Told::Over(JobStatus::Cancelled)), "{nodes} nodes");
+    }
+}
+
 /// Short jobs at four a second, some waiting for the one before, some wide; users that look closely,
 /// cancel at the end and ask oddly; and by `seed` a trouble beside, or none.
 fn crowd(seed: u64) -> Setup {
