Cancellations at the moment of acceptance are counted over all crowds

Cause: the test asked for four of them in each of sixteen crowds. No rule was broken. Change: at least one in each, and 81 in all, where 64 were asked for in all before.

--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -330,7 +330,10 @@
 fn close_looks_odd_requests_and_cancellations_at_the_end_break_no_rule() {
     let looks = crowds(0..16);
     assert!(looks.iter().all(|l| l.close_answered > 500 && l.unfit_refused > 50), "{looks:?}");
-    assert!(looks.iter().all(|l| l.cancelled_at_once > 3 && l.cancelled_at_end > 10), "{looks:?}");
+    assert!(looks.iter().all(|l| l.cancelled_at_once > 0 && l.cancelled_at_end > 10), "{looks:?}");
+    // A tenth of those that are accepted, of a hundred each.
+    let at_once: u64 = looks.iter().map(|l| l.cancelled_at_once).sum();
+    assert!(at_once > 16 * 5, "{looks:?}");
 }
 
 #[test]
