A look for a mark that gets no answer is asked again as soon as it is overdue

Cause: polls' other comparisons are repeated when their answer is overdue; the one for a mark of cancellation came into being beside that change and waited until it was given up. Change: it is sent the same way. Measured: the small test fails without the change and passes with it; `answers`, `polls`, `meetings`, `takeover` and `simulation` pass.

--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -424,7 +424,7 @@
                         Condition { key: mark_key(id), version: 0 },
                     ];
                     let purpose = Purpose::PollMark { id: id.to_string(), record: j, version };
-                    self.state(purpose, StateOp::Commit(Txn { conditions, changes: Vec::new() }));
+                    self.commit_hedged(purpose, Txn { conditions, changes: Vec::new() });
                     return;
                 }
                 if Row::of(&j, version).apart.is_some() && !j.status.is_final() {
--- a/crates/testkit/tests/answers.rs
+++ b/crates/testkit/tests/answers.rs
@@ -171,28 +171,49 @@
     }
 }
 
+/// Whether a node looks for the mark beside the first job's record.
+fn looks(op: &StateOp) -> bool {
+    match op {
+        StateOp::Get(key) => *key == mark_key("req-0"),
+        StateOp::Commit(t) => t.changes.is_empty() && t.conditions.iter().any(|c| c.key == mark_key("req-0")),
+        _ => false,
+    }
+}
+
+/// The first job has been cancelled by a mark, and node 1, which is asked, looks for it.
+fn looking(nodes: usize) -> World {
+    let mut w = World::running(1, nodes, TIGHT + 500);
+    w.ask(0, "req-0", Request::Cancel("req-0".into()));
+    w.settle(1.0, |_| false);
+    w.ask(1, "req-0", Request::Poll("req-0".into()));
+    w.settle(0.2, looks);
+    assert!(w.calls.iter().any(|c| looks(&c.3)), "it is looking for the mark");
+    w
+}
+
 /// A node has read such a record, and the leader takes the mark in before the node looks for it: the
 /// job was once called running by what it had read.
 #[test]
 fn a_mark_that_goes_while_a_node_looks_is_not_missed() {
-    let looks = |op: &StateOp| match op {
-        StateOp::Get(key) => *key == mark_key("req-0"),
-        StateOp::Commit(t) => t.changes.is_empty() && t.conditions.iter().any(|c| c.key == mark_key("req-0")),
-        _ => false,
-    };
     for nodes in [3, 5] {
-        let mut w = World::running(1, nodes, TIGHT + 500);
-        w.ask(0, "req-0", Request::Cancel("req-0".into()));
-        w.settle(1.0, |_| false);
-        w.ask(1, "req-0", Request::Poll("req-0".into()));
-        w.settle(1.0, looks);
-        assert!(w.calls.iter().any(|c| looks(&c.3)), "it is looking for the mark");
+        let mut w = looking(nodes);
         w.take_in("req-0");
         w.settle(1.0, |_| false);
         assert_eq!((w.broken, w.open.len()), (None, 0), "{nodes} nodes");
     }
 }
 
+/// The answer to that look is lost: it is asked again before the user gives up.
+#[test]
+fn a_look_for_a_mark_without_an_answer_is_repeated() {
+    for nodes in [3, 5] {
+        let mut w = looking(nodes);
+        w.calls.retain(|c| !looks(&c.3));
+        w.settle(1.0, |_| false);
+        assert_eq!((w.broken, w.open.len()), (None, 0), "{nodes} nodes");
+    }
+}
+
 impl World {
     /// Has job `id` read by node `n` and keeps the reply on its way.
     fn read_slowly(&mut self, n: usize, id: &str) -> (CallId, StateReply) {
