Simulation: a stored value that nobody can read

Cause: what happens when a value becomes unreadable while a leader runs could not be brought about. Change: Store::damage.

--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -45,6 +45,12 @@
         Store { revision: 1, items, ..Store::default() }
     }
 
+    /// What `key` holds is from now on what nobody can read.
+    pub fn damage(&mut self, key: &str) {
+        let change = Change::Put { key: key.to_string(), value: Value::Unread, lease: None };
+        self.commit(&Txn { conditions: Vec::new(), changes: vec![change] });
+    }
+
     /// How many keys begin with `prefix`.
     pub fn count(&self, prefix: &str) -> usize {
         self.items.keys().filter(|k| k.starts_with(prefix)).count()
