What cannot be read counts for its team, ends with its job, and holds no other up

Cause: a job of which a page cannot be read was dropped from the leader's books: its tasks ran on and counted for no limit, and were stopped by nothing when the job was cancelled (its record can be read, so it can be cancelled). A record that became unreadable while a leader ran was written, conflicted and was read back, for ever, in one transaction with all others. Change: what such a job may take counts for its team: all its open tasks until whatever was launched has been heard or its lease has ended, then what machines report. Once it is known to be over its tasks are stopped. What is found unreadable on reading back is set aside like that. A task that has exited keeps its machine from no other work. Where the job's own record cannot be read its team is not known: its machines take no other work, as before.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -393,6 +393,7 @@
     pub(crate) fn on_reread(&mut self, token: u64, key: &str, r: StateReply) {
         let now = self.now;
         let retry = self.d.renew_s / 4.0;
+        let unseen_until = self.unseen_until();
         let Some(l) = self.lead(token) else { return };
         match r {
             StateReply::Item(Item { value, version, .. }) => {
@@ -422,6 +423,8 @@
                             self.mark_seen(id, over.status, version);
                         }
                     }
+                    // (It was once read back and written in turn, for ever, and nothing else.)
+                    Value::Unread => drop(l.set_aside(key, unseen_until)),
                     _ => {}
                 }
                 if done {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -665,6 +665,7 @@
         let renew_s = self.d.renew_s;
         let limits = self.limits.clone();
         let abandon_s = self.d.abandon_s;
+        let unseen_until = self.unseen_until();
         let mut finals = Vec::new();
         let mut marked = Vec::new();
         let mut arrived = Vec::new();
@@ -685,8 +686,10 @@
             match item.value {
                 Value::Part(text) => l.parts.take(&item.key, text),
                 Value::Unread => {
-                    if let Some(id) = l.unread.note(&item.key) {
-                        l.jobs.remove(&id);
+                    let job = l.set_aside(&item.key, unseen_until);
+                    if let Some(job) = job.filter(Job::is_final) {
+                        let over = over_record(job.status, job.done_count, job.at);
+                        marked.push((job.spec.id, over));
                     }
                 }
                 Value::Job(mut record) => {
@@ -834,6 +837,9 @@
         if l.archive.departed.covers(id, version) {
             return;
         }
+        if record.status.is_final() && l.unread.has(id) {
+            return self.is_over(id, record.status);
+        }
         if l.writes.unsettled(id) {
             l.deferred.push_back((key.to_string(), Value::Job(record), version));
             return;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -16,7 +16,7 @@
 use tracing::{debug, info};
 use wire::cloud::MachineType;
 use wire::job::{JobSpec, Priority, Shape};
-use wire::worker::{split_task, TaskReport};
+use wire::worker::{split_task, TaskReport, TaskState};
 
 /// What was learned of a class: how its run times compare to the estimates.
 #[derive(Debug, Clone, Default)]
@@ -209,7 +209,9 @@
                 continue;
             }
             // What runs there takes nobody knows how much.
-            let unread = |t: &TaskReport| split_task(&t.task).is_some_and(|(id, _)| l.unread.has(id));
+            let unread = |t: &TaskReport| {
+                t.state != TaskState::Exited && split_task(&t.task).is_some_and(|(id, _)| l.unread.has(id))
+            };
             if !l.unread.is_empty() && m.tasks.iter().any(unread) {
                 continue;
             }
@@ -240,6 +242,13 @@
             });
         }
         let team_of = |name: &str| self.settings.params.teams.iter().position(|t| t.name == name);
+        for (team, takes) in l.unread_use(now) {
+            let Some(t) = team_of(team).filter(|_| self.guards.quota).map(|t| &mut teams[t]) else {
+                continue;
+            };
+            t.cores_left = t.cores_left.map(|x| x - takes.cores);
+            t.accelerators_left = t.accelerators_left.map(|x| x - takes.accelerators);
+        }
         // Guarantees cover a team's unfinished jobs in the order they came.
         // What waits for others holds no part of them.
         let graph = &l.pipelines.graph;
--- a/crates/core/src/unread.rs
+++ b/crates/core/src/unread.rs
@@ -1,15 +1,31 @@
 //! Stored values that this version cannot read: a later one's, or damaged. They are told of
 //! once and left alone; what may stand in them is never taken for absent.
 
+use crate::io::Time;
+use crate::job::Job;
+use crate::leader::Lead;
 use crate::record::{id_of, page_of_key};
-use std::collections::BTreeSet;
+use plan::Amounts;
+use std::collections::BTreeMap;
 use tracing::warn;
+use wire::worker::{split_task, TaskState};
 
-/// Jobs of which some stored value cannot be read: nothing is placed, stopped or written of
-/// theirs, and a machine that has tasks of theirs takes no other work.
+/// What such a job may take of its team's limit, if its own record could be read.
+struct Claim {
+    team: String,
+    each: Amounts,
+    /// Tasks that have not ended.
+    open: u32,
+    /// By then whatever was launched of it is reported by its machine, or has ended.
+    unseen_until: Time,
+}
+
+/// Jobs of which some stored value cannot be read: nothing is placed or written of theirs, and
+/// a machine that has tasks of theirs takes no other work. Nothing is stopped either, unless
+/// they are over.
 #[derive(Default)]
 pub struct Unread {
-    jobs: BTreeSet<String>,
+    jobs: BTreeMap<String, Option<Claim>>,
 }
 
 impl Unread {
@@ -18,15 +34,51 @@
         let id = id_of(key).or_else(|| page_of_key(key).map(|p| p.0));
         warn!(key, "cannot be read by this version, left alone");
         let id = id?.to_string();
-        self.jobs.insert(id.clone());
+        self.jobs.entry(id.clone()).or_insert(None);
         Some(id)
     }
 
     pub fn has(&self, job: &str) -> bool {
-        !self.jobs.is_empty() && self.jobs.contains(job)
+        !self.jobs.is_empty() && self.jobs.contains_key(job)
     }
 
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty()
     }
 }
+
+impl Lead {
+    /// The value of `key` cannot be read. Returns its job, as far as that was known.
+    pub fn set_aside(&mut self, key: &str, unseen_until: Time) -> Option<Job> {
+        let id = self.unread.note(key)?;
+        let job = self.jobs.remove(&id)?;
+        let s = &job.spec;
+        let claim = Claim {
+            team: s.team.clone(),
+            each: Amounts::new(s.cores, s.accelerators, s.memory_gb),
+            open: s.tasks - job.done_count,
+            unseen_until,
+        };
+        self.unread.jobs.insert(id, Some(claim));
+        Some(job)
+    }
+
+    /// What the teams' tasks take that no record tells of: all that may run, and once all of it
+    /// has been heard what machines report. (It was once not counted, and limits were
+    /// overshot.)
+    pub fn unread_use(&self, now: Time) -> Vec<(&str, Amounts)> {
+        let live = |id: &str| {
+            let tasks = self.machines.values().flat_map(|m| &m.tasks);
+            let live = tasks.filter(|t| t.state != TaskState::Exited);
+            live.filter(|t| split_task(&t.task).is_some_and(|(of, _)| of == id)).count() as u32
+        };
+        let claims = self.unread.jobs.iter().filter_map(|(id, c)| Some((id, c.as_ref()?)));
+        claims
+            .map(|(id, c)| {
+                let tasks = f64::from(if now < c.unseen_until { c.open } else { live(id) });
+                let Amounts { cores, accelerators, memory_gb } = c.each;
+                (c.team.as_str(), Amounts::new(cores * tasks, accelerators * tasks, memory_gb * tasks))
+            })
+            .collect()
+    }
+}
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -535,7 +535,7 @@
         let tasks = l.machines.get(machine).map(|m| m.tasks.clone()).unwrap_or_default();
         for t in &tasks {
             let Some((id, number)) = split_task(&t.task) else { continue };
-            if l.unread.has(id) {
+            if l.unread.has(id) && self.finals.get(id).is_none() {
                 continue;
             }
             let job = l.jobs.get(id);
@@ -586,12 +586,22 @@
         ReportAnswer { token: l.token, commands }
     }
 
+    /// Answers of earlier leaders, and those on their leave, have come or never will by then.
+    fn old_end(&self) -> Time {
+        let old_answers = (self.d.grace_s - self.d.leader_ttl_s).max(self.d.leave_s);
+        self.now + old_answers + self.d.worker_timeout_s
+    }
+
+    /// Whatever is on a machine by now has been reported by then, or its lease has ended.
+    pub(crate) fn unseen_until(&self) -> Time {
+        self.old_end() + self.d.lease_over_s + self.d.worker_timeout_s
+    }
+
     /// Machines that stored placements name, unheard by this leader: their
     /// leases may have been renewed until the end of the old leader's grace, or of the
     /// leave that an earlier start of this node gave just before it ended.
     pub(crate) fn adopt_placed_machines(&mut self) {
-        let old_answers = (self.d.grace_s - self.d.leader_ttl_s).max(self.d.leave_s);
-        let old_end = self.now + old_answers + self.d.worker_timeout_s;
+        let old_end = self.old_end();
         let now = self.now;
         let Role::Leader(l) = &mut self.role else { return };
         if !l.loaded {
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -10,6 +10,7 @@
 use anisecroft_testkit::{Fault, Setup, Sim};
 use by_hand::*;
 use common::*;
+use engine::record::*;
 use engine::*;
 use wire::job::*;
 use wire::worker::*;
@@ -231,6 +232,73 @@
     assert!(w.core.given_up().any(|m| m == "vm-1"));
 }
 
+/// A leader that reads a job of eight tasks, four on each of two machines, whose second page it
+/// cannot read; together they take all that their team may use.
+fn half_read() -> (ByHand, [Hand; 3]) {
+    let spec = JobSpec { team: "dispatch".into(), tasks: 8, accelerators: 1.0, ..one("req-1") };
+    let place = |task| StoredPlacement { task, attempt: 1, machine: "vm-1".into() };
+    let page = PageRecord { places: (0..4).map(place).collect(), ..PageRecord::default() };
+    let record = JobRecord { per_page: 4, attempt: 1, page, ..JobRecord::new(spec, 1e9, 30_000) };
+    let items = [
+        (job_key("req-1"), Value::Job(Box::new(record))),
+        (page_key("req-1", 1, 0), Value::Unread),
+        (FORMAT_KEY.to_string(), Value::Format(FORMAT)),
+    ];
+    let mut w = ByHand::leading(Store::holding(items), &["vm-1", "vm-2", "vm-3"], 100.0);
+    let mut hands = ["vm-1", "vm-2", "vm-3"].map(Hand::new);
+    for (hand, tasks) in hands.iter_mut().zip([0..4, 4..8, 0..0]) {
+        let (state, cause, saved) = (TaskState::Running, None, None);
+        let runs = |n| TaskReport { task: task_name("req-1", n), attempt: 1, state, cause, saved };
+        hand.report.tasks = tasks.map(runs).collect();
+        w.turn(hand);
+    }
+    (w, hands)
+}
+
+/// What cannot be read counts for its team's limit, and no longer than it runs.
+#[test]
+fn what_cannot_be_read_counts_for_its_team() {
+    let (mut w, mut hands) = half_read();
+    w.submit(&JobSpec { team: "dispatch".into(), ..one("req-2") });
+    let turns = |w: &mut ByHand, hands: &mut [Hand; 3], for_s: f64| {
+        let end = w.now + for_s;
+        while w.now < end && !hands.iter().any(|h| h.has("req-2")) {
+            hands.iter_mut().for_each(|h| drop(w.turn(h)));
+            w.run(0.5);
+        }
+        hands.iter().any(|h| h.has("req-2"))
+    };
+    assert!(!turns(&mut w, &mut hands, 90.0), "over the limit: {:?}", hands[2].report.tasks);
+    let ended = hands[1].report.tasks.iter_mut().take(2);
+    ended.for_each(|t| (t.state, t.cause) = (TaskState::Exited, Some(ExitCause::Stopped)));
+    assert!(turns(&mut w, &mut hands, 30.0), "room is kept for ever");
+}
+
+/// What cannot be read of a cancelled job is stopped where it runs all the same.
+#[test]
+fn what_cannot_be_read_is_stopped_once_its_job_is_cancelled() {
+    let (mut w, mut hands) = half_read();
+    w.cancel("req-1");
+    for _ in 0..3 {
+        hands.iter_mut().for_each(|h| drop(w.turn(h)));
+        w.run(0.5);
+    }
+    assert!(hands.iter().all(|h| !h.has("req-1")), "{hands:?}");
+}
+
+/// A record becomes unreadable while its job runs: the writes of others go on.
+#[test]
+fn one_unreadable_record_holds_no_other_up() {
+    let (mut w, mut hand) = busy(&[one("req-1"), one("req-2")]);
+    w.store.damage(&job_key("req-1"));
+    // The leader has something to write of it.
+    let first = &mut hand.report.tasks[0];
+    (first.state, first.cause) = (TaskState::Exited, Some(ExitCause::Stopped));
+    w.turn(&mut hand);
+    w.submit(&one("req-3"));
+    w.settle(&mut hand, &["req-2", "req-3"]);
+}
+
 /// Work for three times what each team may use, in small arrays.
 fn full(seed: u64, nodes: usize) -> Setup {
     let s = setup(seed, vec![]);
--- a/crates/testkit/tests/common/by_hand.rs
+++ b/crates/testkit/tests/common/by_hand.rs
@@ -30,7 +30,7 @@
 }
 
 /// A worker as the test holds it.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Hand {
     pub report: Report,
 }
