A cancellation seen beside a write on its way stops the job's tasks at once

Cause: while the outcome of the leader's own write of a job was open, a cancellation by another node waited for it: its tasks were told nothing until then, up to the end of an outage. Change: the job is withdrawn in the books and its tasks are told at once; the record is taken in afterwards, as before.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -841,7 +841,14 @@
             return self.is_over(id, record.status);
         }
         if l.writes.unsettled(id) {
+            let cancelled = record.status == JobStatus::Cancelled;
             l.deferred.push_back((key.to_string(), Value::Job(record), version));
+            if let Some(job) = l.jobs.get_mut(id).filter(|_| cancelled) {
+                // Whatever becomes of that write, its tasks are of no use. (They once went on
+                // until the outcome was known.)
+                job.withdraw();
+                self.settle_final(id);
+            }
             return;
         }
         // Its own job's specification is known here, another's lies in parts.
--- a/crates/testkit/tests/at_limits.rs
+++ b/crates/testkit/tests/at_limits.rs
@@ -13,6 +13,7 @@
 use engine::record::*;
 use engine::*;
 use wire::job::*;
+use wire::state::{Change, Txn};
 use wire::worker::*;
 
 /// A job of one long task that fits a machine several times.
@@ -127,6 +128,29 @@
     assert!(!launches(&told, "req-2"), "{told:?}");
 }
 
+/// Another node cancels a job while the leader's own write of it is on its way: its tasks are told
+/// at once, not when that write's outcome is known.
+#[test]
+fn a_cancellation_beside_a_write_on_its_way_stops_at_once() {
+    let (mut w, mut hand) = busy(&[JobSpec { tasks: 2, ..one("req-1") }]);
+    let first = &mut hand.report.tasks[0];
+    (first.state, first.cause) = (TaskState::Exited, Some(ExitCause::Done));
+    w.writes_held = true;
+    w.deliver(&hand.next());
+    w.run(2.0);
+    let key = job_key("req-1");
+    let Some(StateReply::Item(item)) = w.store.execute(w.now, &StateOp::Get(key.clone())) else { panic!() };
+    let Value::Job(record) = item.value else { panic!() };
+    let cancelled = Box::new(JobRecord { status: JobStatus::Cancelled, ..*record });
+    let change = Change::Put { key, value: Value::Job(cancelled), lease: None };
+    let txn = Txn { conditions: Vec::new(), changes: vec![change] };
+    w.store.execute(w.now, &StateOp::Commit(txn));
+    w.direct.clear();
+    w.run(0.3);
+    let direct = w.told(&hand);
+    assert!(direct.iter().any(|d| stops(&d.2.commands, "req-1").count() > 0), "{direct:?}");
+}
+
 /// A launch is on its way when its job is cancelled: the stop follows it at once, and not only
 /// when a report shows the task.
 #[test]
--- a/crates/testkit/tests/common/by_hand.rs
+++ b/crates/testkit/tests/common/by_hand.rs
@@ -20,6 +20,8 @@
     pub cloud_down: bool,
     /// The records are not read while this holds.
     pub lists_down: bool,
+    /// Writes are on their way while this holds.
+    pub writes_held: bool,
     /// Reads of single keys that are served yet, if not all.
     pub reads_left: Option<u32>,
     pub answers: BTreeMap<RequestId, Answer>,
@@ -135,6 +137,7 @@
             listed,
             cloud_down: false,
             lists_down: false,
+            writes_held: false,
             reads_left: None,
             answers: BTreeMap::new(),
             direct: Vec::new(),
@@ -206,6 +209,9 @@
         if self.lists_down && matches!(op, StateOp::List { .. }) {
             return self.feed(Input::State(call, StateReply::Refused));
         }
+        if self.writes_held && matches!(op, StateOp::Commit(_)) {
+            return;
+        }
         if matches!(op, StateOp::Get(_)) {
             match &mut self.reads_left {
                 Some(0) => return self.feed(Input::State(call, StateReply::Refused)),
