--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -670,6 +670,7 @@
         let renew_s = self.d.renew_s;
         let limits = self.limits.clone();
         let abandon_s = self.d.abandon_s;
+        let unseen_until = self.unseen_until();
         let mut finals = Vec::new();
         let mut marked = Vec::new();
         let mut arrived = Vec::new();
@@ -690,8 +691,10 @@
             match item.value {
                 Value::Part(text) => l.parts.take(&item.key, text),
                 Value::Unread => {
-                    if let Some(id) = l.unread.note(&item.key) {
-                        l.jobs.remove(&id);
+                    let job = l.set_aside(&item.key, unseen_until);
+                    if let Some(job) = job.filter(Job::is_final) {
+                        let over = over_record(job.status, job.done_count, job.at);
+                        marked.push((job.spec.id, over));
                     }
                 }
                 Value::Job(mut record) => {
@@ -839,8 +842,18 @@
         if l.archive.departed.covers(id, version) {
             return;
         }
+        if record.status.is_final() && l.unread.has(id) {
+            return self.is_over(id, record.status);
+        }
         if l.writes.unsettled(id) {
+            let cancelled = record.status == JobStatus::Cancelled;
             l.deferred.push_back((key.to_string(), Value::Job(record), version));
+            if let Some(job) = l.jobs.get_mut(id).filter(|_| cancelled) {
+                // Whatever becomes of that write, its tasks are of no use. (They once went on
+                // until the outcome was known.)
+                job.withdraw();
+                self.settle_final(id);
+            }
             return;
         }
         // Its own job's specification is known here, another's lies in parts.
