Simulation: every message numbered, troubles at one of them

Change: where a message leaves, or a node's timer is set, `send` is the one place that numbers it, records it with kind, purpose and state of the record, and lets a planned trouble strike: lost, late, copied, its sender ends before or after, its receiver is cut off, the machine hangs, users cancel or ask everywhere. Nothing there is drawn at random. A node that ends in the middle of what it sends sends no more of it.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod worker;
 
 pub use rules::{Broken, Rule};
-pub use sim::{Fault, Setup, Sim};
+pub use sim::{Border, Fault, Setup, Sim, Trouble};
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -1,9 +1,11 @@
 //! A seeded simulation of a deployment: several cores, the outside world's
 //! stand-ins, and a network that loses, delays and holds messages.
 
+mod border;
 mod looks;
 mod order;
 
+pub use border::{Border, Crossing, Trouble};
 pub use looks::{LookCounts, LostWrite};
 
 use crate::cloud::Cloud;
@@ -421,6 +423,8 @@
     kept: order::Kept,
     /// Work that waits beside room.
     idle: order::Idle,
+    /// What strikes at which message; None: nothing is numbered.
+    interference: Option<border::Interference>,
     /// Tasks that began after their job's cancellation had been told, with machine and when.
     pub late_starts: Vec<(f64, TaskKey, String)>,
     /// Relays between controllers, the reports in them and their bytes, and
@@ -521,6 +525,7 @@
             looks: looks::Looks::default(),
             kept: order::Kept::default(),
             idle: order::Idle::default(),
+            interference: None,
             late_starts: Vec::new(),
             relays: 0,
             relayed: 0,
@@ -596,6 +601,10 @@
         let steady = (now - node.started) * node.rate;
         let out = core.handle(steady, 1e9 + now, input);
         for o in out {
+            // It may have ended at one of them.
+            if self.nodes[n].core.is_none() {
+                break;
+            }
             self.carry_out(n, o);
         }
     }
@@ -617,12 +626,12 @@
                         let cut = self.worker_cut(&vm, n);
                         let held = self.hold_up();
                         if let Some(at) = self.through(cut).map(|at| at + held) {
-                            self.push(at, Ev::AnswerArrives(vm, seq, n, answer));
+                            self.send(at, Some(n), Ev::AnswerArrives(vm, seq, n, answer));
                         }
                     }
                     Asker::User(id, asked) => {
                         let d = self.delay();
-                        self.push(self.now + d, Ev::UserAnswer(id, asked, answer));
+                        self.send(self.now + d, Some(n), Ev::UserAnswer(id, asked, answer));
                     }
                 }
             }
@@ -638,7 +647,7 @@
                 let late = self.now < self.late_writes.0 && matches!(op, StateOp::Commit(_));
                 if late && self.rng.gen_bool(self.late_writes.1) {
                     let at = self.now + self.rng.gen_range(2.0..LATEST_WRITE_S);
-                    return self.push(at, Ev::LateWrite(n, inc, call, op));
+                    return self.send(at, Some(n), Ev::LateWrite(n, inc, call, op));
                 }
                 let cut = self.state_cut(n);
                 let slow = self.slow_down();
@@ -646,17 +655,17 @@
                 let lost = self.now < self.lost_answers.0 && served && matches!(op, StateOp::Commit(_));
                 if lost && self.rng.gen_bool(self.lost_answers.1) {
                     let at = self.through(cut).unwrap_or(self.now);
-                    return self.push(at + slow, Ev::LateWrite(n, inc, call, op));
+                    return self.send(at + slow, Some(n), Ev::LateWrite(n, inc, call, op));
                 }
                 if let Some(at) = self.through(cut) {
-                    self.push(at + slow, Ev::StateArrives(n, inc, call, op));
+                    self.send(at + slow, Some(n), Ev::StateArrives(n, inc, call, op));
                 }
             }
             Output::Cloud(call, op) => {
                 self.stray_calls += u64::from(self.replaced(n));
                 self.open_call(n, call, 5.0, Input::Cloud(call, CloudReply::Unknown));
                 if let Some(at) = self.through(0.0) {
-                    self.push(at + 0.1, Ev::CloudArrives(n, inc, call, op));
+                    self.send(at + 0.1, Some(n), Ev::CloudArrives(n, inc, call, op));
                 }
             }
             Output::Relay(call, node, request) => {
@@ -667,17 +676,17 @@
                 self.open_call(n, call, timeout, Input::RelayReply(call, None));
                 let Some(to) = NODE_NAMES.iter().position(|m| *m == node) else { return };
                 if self.now < self.peers_refused {
-                    return self.reply(n, inc, Input::RelayReply(call, None), 0.0);
+                    return self.reply(n, inc, Input::RelayReply(call, None), 0.0, None);
                 }
                 if let Some(at) = self.through(self.peer_cut(n, to)) {
-                    self.push(at, Ev::RelayArrives(n, inc, call, to, request));
+                    self.send(at, Some(n), Ev::RelayArrives(n, inc, call, to, request));
                 }
             }
             Output::RelayReply(id, reply) => {
                 let Some(Asker::Node(to, inc, call)) = self.nodes[n].asked.remove(&id) else { return };
                 self.relay_bytes += reply.encoded_len() as u64;
                 let cut = self.peer_cut(n, to);
-                self.reply(to, inc, Input::RelayReply(call, Some(reply)), cut);
+                self.reply(to, inc, Input::RelayReply(call, Some(reply)), cut, Some(n));
             }
             Output::Worker(call, addr, body) => {
                 self.direct_calls += 1;
@@ -685,7 +694,7 @@
                 let cut = self.addr_cut(&addr, n);
                 let held = self.hold_up();
                 if let Some(at) = self.through(cut).map(|at| at + held) {
-                    self.push(at, Ev::DoArrives(n, inc, call, addr, body));
+                    self.send(at, Some(n), Ev::DoArrives(n, inc, call, addr, body));
                 }
             }
         }
@@ -776,9 +785,10 @@
         }
     }
 
-    fn reply(&mut self, n: usize, inc: u64, input: Input, cut: f64) {
+    /// `from`: the node that replies, if it is one.
+    fn reply(&mut self, n: usize, inc: u64, input: Input, cut: f64, from: Option<usize>) {
         if let Some(at) = self.through(cut) {
-            self.push(at, Ev::Reply(n, inc, input));
+            self.send(at, from, Ev::Reply(n, inc, input));
         }
     }
 
@@ -814,7 +824,7 @@
                 if self.alive(n, inc) {
                     self.feed(n, Input::Tick);
                     let pause = self.nodes[n].core.as_ref().map_or(1.0, Core::wake_s);
-                    self.push(self.now + pause, Ev::Tick(n, inc));
+                    self.send(self.now + pause, Some(n), Ev::Tick(n, inc));
                 }
             }
             Ev::StateArrives(n, inc, call, op) => self.state_arrives(n, inc, call, op),
@@ -843,7 +853,7 @@
                 let now = self.now;
                 self.deleted.extend(self.cloud.deleted.iter().map(|id| (now, id.clone())));
                 self.drop_deleted();
-                self.reply(n, inc, Input::Cloud(call, r), 0.0);
+                self.reply(n, inc, Input::Cloud(call, r), 0.0, None);
             }
             Ev::DoArrives(n, inc, call, addr, body) => self.do_arrives(n, inc, call, &addr, &body),
             Ev::Reply(n, inc, input) => {
@@ -927,7 +937,7 @@
         let is_watch = matches!(op, StateOp::Watch { .. });
         if self.now < self.state_down || self.now < self.nodes[n].refused {
             // Open watches wait; what comes anew is refused.
-            return self.reply(n, inc, Input::State(call, StateReply::Refused), cut);
+            return self.reply(n, inc, Input::State(call, StateReply::Refused), cut, None);
         }
         let before = self.store.revision;
         match self.store.execute(self.now, &op) {
@@ -938,7 +948,7 @@
                 }
                 let slow = self.slow_down();
                 if let Some(at) = self.through(cut) {
-                    self.push(at + slow, Ev::Reply(n, inc, Input::State(call, r)));
+                    self.send(at + slow, None, Ev::Reply(n, inc, Input::State(call, r)));
                 }
             }
             None if is_watch => {
@@ -965,7 +975,7 @@
             match reply {
                 Some(r) => {
                     let cut = self.state_cut(w.node);
-                    self.reply(w.node, w.incarnation, Input::State(w.call, r), cut);
+                    self.reply(w.node, w.incarnation, Input::State(w.call, r), cut, None);
                 }
                 None => self.watches.push(w),
             }
@@ -1016,7 +1026,7 @@
         let Some(w) = self.workers.get_mut(&vm) else { return };
         let report = Box::new(w.report());
         let cut = self.worker_cut(&vm, n);
-        self.reply(n, inc, Input::Worker(call, WorkerReply::Report { executed, report }), cut);
+        self.reply(n, inc, Input::Worker(call, WorkerReply::Report { executed, report }), cut, None);
     }
 
     fn answer_arrives(&mut self, vm: &str, seq: u64, n: usize, a: &Answer) {
@@ -1094,7 +1104,7 @@
         let cut = self.worker_cut(vm, node);
         if !mute {
             if let Some(at) = self.through(cut) {
-                self.push(at, Ev::ReportArrives(vm.to_string(), seq, node, wire::encode(&report)));
+                self.send(at, None, Ev::ReportArrives(vm.to_string(), seq, node, wire::encode(&report)));
             }
         }
         self.push(now + 4.0, Ev::ReportGivenUp(vm.to_string(), seq));
@@ -1417,7 +1427,7 @@
         };
         let n = self.rng.gen_range(0..self.nodes.len());
         let d = self.delay();
-        self.push(now + d, Ev::UserArrives(id.to_string(), asked, n, r));
+        self.send(now + d, None, Ev::UserArrives(id.to_string(), asked, n, r));
         self.push(now + 4.0, Ev::UserGivesUp(id.to_string(), asked));
     }
 
@@ -1669,6 +1679,11 @@
         self.cloud.rented()
     }
 
+    /// Whether every submitted job has been told to be over.
+    pub fn all_over(&self) -> bool {
+        self.users.keys().all(|id| self.ledger.over_at.contains_key(id))
+    }
+
     /// Accepted jobs that should be over by now and are not.
     pub fn unfinished(&self) -> Vec<String> {
         self.ledger
--- a/crates/testkit/src/sim/looks.rs
+++ b/crates/testkit/src/sim/looks.rs
@@ -65,7 +65,7 @@
         let sent = self.now + after;
         self.looks.open.insert(number, Look { id: id.to_string(), sent, unfit });
         let at = sent + self.delay();
-        self.push(at, Ev::UserArrives(id.to_string(), number, node, request));
+        self.send(at, None, Ev::UserArrives(id.to_string(), number, node, request));
     }
 
     /// A user wants its job cancelled, at any node; its own course repeats that until it is answered.
@@ -174,6 +174,26 @@
         }
     }
 
+    /// Users cancel every accepted job that is not known to be over.
+    pub(super) fn cancel_all(&mut self) {
+        let over = |id: &&String| self.ledger.told.get(*id).is_some_and(|s| s.is_final());
+        let open = self.ledger.accepted.iter().filter(|id| !over(id));
+        for id in open.cloned().collect::<Vec<_>>() {
+            self.cancel_by_look(&id, 0.0);
+        }
+    }
+
+    /// Users ask for every job that was submitted at every node, and repeat their submissions.
+    pub(super) fn ask_all(&mut self) {
+        for id in self.ledger.submitted.iter().cloned().collect::<Vec<_>>() {
+            let again = Request::Submit(wire::encode(&self.ledger.specs[&id]));
+            for node in 0..self.nodes.len() {
+                self.look(&id, node, 0.0, Request::Poll(id.clone()), false);
+                self.look(&id, node, 0.0, again.clone(), false);
+            }
+        }
+    }
+
     /// Odd requests of a user, at any node.
     pub(super) fn ask_oddly(&mut self, id: &str) {
         if self.now >= self.looks.odd_until || !self.rng.gen_bool(0.3) {
