Explorer: each kind of trouble at each message of short scripts

What is thinned, not played or did not come about is printed. A failure is made smaller and printed as a line that replays it. Guards can be switched off by name.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! rules after every step.
 
 pub mod cloud;
+pub mod explore;
 pub mod rules;
 pub mod sim;
 pub mod state;
--- /dev/null
+++ b/crates/testkit/tests/explore.rs
@@ -0,0 +1,188 @@
+//! The explorer: what it plays repeats exactly, it finds what the guards keep, and bad input is
+//! refused in one line.
+
+use anisecroft_testkit::explore::*;
+use anisecroft_testkit::{Border, Sim, Trouble};
+use std::process::Command;
+
+fn options(every: usize) -> Options {
+    Options {
+        scripts: SCRIPTS.iter().collect(),
+        depth: 1,
+        jobs: 2,
+        seed: 1,
+        without: None,
+        most: None,
+        every,
+        only: Vec::new(),
+        first: false,
+    }
+}
+
+fn line(text: &str) -> Line {
+    text.parse().expect("the line is one that a run printed")
+}
+
+/// Of all scripts one run in many; every run without trouble, and messages of rare meaning, are
+/// among them. All of it: `cargo run --release -p anisecroft-testkit --bin explore`.
+#[test]
+fn a_selection_of_all_scripts_breaks_no_rule() {
+    for script in &SCRIPTS {
+        let e = explore(script, &options(SELECTED), &|_| {});
+        let lines: Vec<String> = e.failures.iter().map(|f| format!("{}: {}", f.rule, f.line)).collect();
+        assert!(lines.is_empty(), "{lines:#?}");
+        assert!(e.points > 400 && e.runs > 10, "{}: {} points, {} runs", script.name, e.points, e.runs);
+        assert_eq!(e.possible, e.runs + e.thinned, "{}", script.name);
+        assert_eq!((e.left, e.missed), (0, 0), "{}", script.name);
+    }
+}
+
+/// Of the runs of a script one in so many.
+const SELECTED: usize = 800;
+
+/// Without a guard the plan of a script comes to a run that breaks `rule`, and with it the
+/// same run does not. Of the plan one run in `every` may be played, with one kind of trouble if it is named.
+fn found(guard_name: &'static str, rule: &str, script: &str, only: &[&'static str], every: usize) {
+    let o = Options { without: Some(guard_name), first: true, only: only.to_vec(), ..options(every) };
+    let e = explore(find_script(script).expect("it is there"), &o, &|_| {});
+    let failure = e.failures.first().unwrap_or_else(|| panic!("{guard_name}: none in {} runs", e.runs));
+    let without = line(&failure.line.to_string());
+    assert_eq!(failure.rule, rule, "{without}");
+    assert_eq!(play(&without, false).broken.map(|b| b.0).as_deref(), Some(rule), "{without}");
+    let with = Line { without: None, ..without };
+    assert_eq!(play(&with, false).broken, None, "{with}");
+}
+
+#[test]
+fn what_a_guard_keeps_is_found() {
+    found("quota", "Quota", "limit", &[], 1000);
+    found("awaits", "TooEarly", "await", &[], 1000);
+    found("lineage", "Orphaned", "leaderless", &[], 1000);
+    found("gateway.leave", "RanCancelled", "zone", &["cut"], 50);
+    found("lease_wait", "RanTwice", "steady", &["hangs"], 1);
+}
+
+/// The others take hundreds of runs: `cargo test --release -p anisecroft-testkit --test explore --
+/// --ignored`.
+#[test]
+#[ignore = "a minute"]
+fn what_other_guards_keep_is_found() {
+    found("grace", "RanCancelled", "gap", &[], 30);
+    found("write_ahead", "RanTwice", "steady", &[], 30);
+    found("versions", "WentBack", "cancel", &[], 30);
+    found("relay_wait", "RanTwice", "zone", &[], 30);
+    found("order", "RanTwice", "steady", &["cut"], 2);
+}
+
+/// A trouble that the failure doesn't need is left out, and the others last less long.
+#[test]
+fn a_failure_is_made_smaller() {
+    let large = line("limit 30:lost 65:cut:43 900:ask seed:1 without:quota");
+    let rule = play(&large, false).broken.expect("it breaks a rule").0;
+    let small = smaller(&large, &rule);
+    assert!(small.plan.is_empty(), "{small}");
+    assert_eq!(play(&small, false).broken.map(|b| b.0), Some(rule), "{small}");
+}
+
+/// Nothing is drawn for the record: the run is the same with and without.
+#[test]
+fn a_record_changes_nothing() {
+    for script in SCRIPTS.iter().step_by(3) {
+        let run = |recorded: Option<bool>| {
+            let mut sim = Sim::new(script.setup(5, guards(None)));
+            if let Some(record) = recorded {
+                sim.interfere(Vec::new(), record);
+            }
+            sim.run(50.0);
+            (sim.starts, sim.changes, sim.reports, sim.relay_bytes, sim.store().revision, sim.ledger.told)
+        };
+        let quiet = run(None);
+        assert_eq!(run(Some(true)), quiet, "{}", script.name);
+        assert_eq!(run(Some(false)), quiet, "{}", script.name);
+    }
+}
+
+/// Every kind of trouble at every border comes about, and all but a wait that nobody
+/// notices change what crosses afterwards.
+#[test]
+fn every_trouble_strikes() {
+    let quiet = line("cancel");
+    let crossings = play(&quiet, true).crossings;
+    let borders: std::collections::BTreeSet<&Border> = crossings.iter().map(|c| &c.border).collect();
+    assert_eq!(borders.len(), 14, "{borders:?}");
+    for border in borders {
+        // Late enough that machines are there.
+        let alike: Vec<_> = crossings.iter().filter(|c| c.border == *border).collect();
+        let number = alike[alike.len() / 2].number;
+        for trouble in troubles(border) {
+            let one = Line { plan: vec![(number, trouble)], ..quiet.clone() };
+            let outcome = play(&one, true);
+            assert_eq!((outcome.struck, outcome.broken), (1, None), "{one}");
+            let before = crossings.iter().take_while(|c| c.number <= number);
+            assert!(before.eq(outcome.crossings.iter().take_while(|c| c.number <= number)), "{one}");
+            let asks_only = matches!(trouble, Trouble::Cancel);
+            assert!(asks_only || outcome.crossings != crossings, "{one} changes nothing");
+        }
+    }
+}
+
+/// Second troubles come within a lease after the first, and what is thinned is counted.
+#[test]
+fn pairs_are_counted() {
+    let o = Options { depth: 2, only: vec!["copied"], ..options(500) };
+    let e = explore(find_script("await").expect("it is there"), &o, &|_| {});
+    assert_eq!(e.failures, []);
+    assert!(e.possible > 100, "{}", e.possible);
+    assert!(e.runs > 0 && e.possible == e.runs + e.thinned + e.left, "{e:?}");
+}
+
+#[test]
+fn lines_are_read_as_they_are_written() {
+    let text = "cancel 12:lost 40:late:2.5 41:copied:24 50:ends-before:0.2 51:ends-after:20 60:cut:3 \
+                61:refused:43 62:hangs:20 70:cancel 71:ask seed:9 without:gateway.token";
+    assert_eq!(line(text).to_string(), text);
+    assert_eq!(line("cancel").to_string(), "cancel seed:1");
+}
+
+/// What the command says on the wrong line or option, and its exit code.
+#[test]
+fn bad_input_gets_one_line() {
+    for (args, word) in [
+        (&["--replay", "nothing 1:lost"][..], "arrays"),
+        (&["--replay", "cancel 1:gone"], "ends-before"),
+        (&["--replay", "cancel 0:lost"], "number"),
+        (&["--replay", "cancel lost"], "NUMBER:TROUBLE"),
+        (&["--replay", "cancel 3:late"], "late:6"),
+        (&["--replay", "cancel 3:late:-1"], "late:6"),
+        (&["--replay", "cancel 3:late:nan"], "late:6"),
+        (&["--replay", "cancel 3:lost:6"], "lost"),
+        (&["--replay", "cancel 3:lost seed:x"], "seed:1"),
+        (&["--replay", "cancel 3:lost without:all"], "quota"),
+        (&["--replay", ""], "line"),
+        (&["--script", "arrays,nothing"], "arrays"),
+        (&["--depth", "3"], "--depth 1"),
+        (&["--depth", "two"], "--help"),
+        (&["--jobs", "0"], "--jobs 1"),
+        (&["--most-s", "0"], "--most-s 60"),
+        (&["--most-s", "-5"], "--"),
+        (&["--every", "0"], "--every 1"),
+        (&["--without", "quotas"], "quota"),
+        (&["--only", "lost,gone"], "ends-before"),
+        (&["--nothing"], "--help"),
+    ] {
+        let out = Command::new(env!("CARGO_BIN_EXE_explore")).args(args).output().expect("it runs");
+        let said = String::from_utf8_lossy(&out.stderr).to_string();
+        assert_eq!(out.status.code(), Some(2), "{args:?}: {said}");
+        assert_eq!((said.lines().count(), out.stdout.len()), (1, 0), "{args:?}: {said}");
+        assert!(said.starts_with("explore: ") && said.contains(word), "{args:?}: {said}");
+    }
+}
+
+/// The exit code tells whether a rule broke.
+#[test]
+fn the_exit_code_tells() {
+    for (text, code) in [("await", 0), ("await seed:1 without:awaits", 1)] {
+        let out = Command::new(env!("CARGO_BIN_EXE_explore")).args(["--replay", text]).output();
+        assert_eq!(out.expect("it runs").status.code(), Some(code), "{text}");
+    }
+}
