Explorer: the newer guards' names, tests that hold on the merged core

Cause: three guards came with the merge and had no name here, and numbers of messages move with every change of the core: lines taken from one run proved nothing of the next. Change: every guard has a name, and a test counts them.

--- a/crates/testkit/src/explore/mod.rs
+++ b/crates/testkit/src/explore/mod.rs
@@ -6,7 +6,7 @@
 mod play;
 mod script;
 
-pub use line::{find_script, guard, guards, kind_of_trouble, Line};
+pub use line::{find_script, guard, guard_names, guards, kind_of_trouble, Line};
 pub use play::{play, smaller, troubles, Outcome};
 pub use script::{Script, SCRIPTS};
 
