--- /dev/null
+++ b/crates/testkit/tests/explored.rs
@@ -0,0 +1,29 @@
+//! What the explorer found, each as a run of its own that needs no numbers of messages.
+
+mod common;
+
+use anisecroft_testkit::{Fault, Setup, Sim};
+use common::*;
+use wire::job::*;
+
+/// Work that nobody waits for loses its machine when it has waited for long, and there is no other
+/// work: a machine is rented for it again. (It was taken for one place that is free anyway, for
+/// which nothing is rented, and never ran again. Found by `explore`, script `gang`, a machine that hangs.)
+#[test]
+fn idle_work_alone_is_rented_for_again() {
+    for seed in 0..6 {
+        let mut s = setup(seed, vec![]);
+        unlimited(&mut s);
+        let idle = JobSpec { priority: Priority::Low, tasks: 2, estimate_s: 110.0, ..long_array() };
+        s.jobs = vec![(1.0, idle, None)];
+        let mut sim = Sim::new(Setup { capacity: 2, loss: 0.0, ..s });
+        assert_eq!(sim.run(70.0), [], "seed {seed}");
+        assert!(sim.starts > 0 && !sim.unfinished().is_empty(), "seed {seed}: it is not running");
+        let rented = sim.rented();
+        (0..2).for_each(|nth| sim.strike(Fault::Take { nth }));
+        assert_eq!(sim.run(160.0), [], "seed {seed}");
+        assert!(sim.rented() > rented, "seed {seed}: nothing was rented for what is left");
+        assert_eq!(sim.run(480.0), [], "seed {seed}");
+        assert_eq!(sim.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
