--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,10 +3,11 @@
 //! rules after every step.
 
 pub mod cloud;
+pub mod explore;
 pub mod rules;
 pub mod sim;
 pub mod state;
 pub mod worker;
 
 pub use rules::{Broken, Rule};
-pub use sim::{Fault, Setup, Sim};
+pub use sim::{Border, Fault, Setup, Sim, Trouble};
