What nobody waits for keeps off a machine that it failed on, too

Cause: such work was kept off the machines that stand ready for others instead of those that it had failed on; alone on a faulty machine it was started there again and again. Change: it keeps off both; machines that stand idle are none of its own where it failed on some.

--- a/crates/core/src/bound.rs
+++ b/crates/core/src/bound.rs
@@ -130,8 +130,12 @@
         for (z, most) in zones {
             let Some(zone) = self.zones.get(*z) else { continue };
             let machines = (left.min(*most) / n).ceil() as u32;
-            let taken = self.at_hand.take(&kind.name, zone, job.spot, machines);
-            let ready = self.idle.take(&kind.name, zone, job.spot, taken);
+            // What it failed on may stand idle there, and is no machine of its own.
+            let idle = self.idle.count(&kind.name, zone, job.spot);
+            let shunned = if job.avoid.is_empty() { 0 } else { idle };
+            let room = self.at_hand.count(&kind.name, zone, job.spot).saturating_sub(shunned);
+            let taken = self.at_hand.take(&kind.name, zone, job.spot, machines.min(room));
+            let ready = self.idle.take(&kind.name, zone, job.spot, taken.min(idle - shunned));
             *self.need.entry(pool.clone()).or_insert(0.0) += f64::from(taken - ready);
             if job.shape == plan::Shape::Gang {
                 *self.gathering.entry((pool.0.clone(), zone.clone())).or_insert(0) += taken;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -377,8 +377,9 @@
                 && !fruitless.iter().any(|f| alike(f, s))
                 && fruitless.len() < MOST_FRUITLESS
                 && {
-                    let free = machines.iter().any(|m| free_for(s, m));
-                    fruitless.extend(Some(s).filter(|_| !free));
+                    let sound = |at: usize| !job.failed_on.contains(&names[at]);
+                    let free = machines.iter().enumerate().any(|(at, m)| free_for(s, m) && sound(at));
+                    fruitless.extend(Some(s).filter(|_| !free && job.failed_on.is_empty()));
                     steps += machines.len() as u64;
                     free
                 };
@@ -462,15 +463,13 @@
                     && job.places.is_empty()
                     && l.beside.passed_over(id, now, self.d.lying_s),
                 spot_only,
-                avoid: if leftover {
-                    kept.clone()
-                } else {
-                    job.failed_on
-                        .iter()
-                        .filter(|_| !probe)
-                        .filter_map(|m| index.get(m.as_str()).copied())
-                        .collect()
-                },
+                avoid: job
+                    .failed_on
+                    .iter()
+                    .filter(|_| !suspect)
+                    .filter_map(|m| index.get(m.as_str()).copied())
+                    .chain(kept.iter().copied().filter(|_| leftover))
+                    .collect(),
             });
             // What nobody waits for has no floor, and what fails everywhere none either.
             if let Some(planned) = jobs.last().filter(|j| !j.leftover && !j.probe) {
--- a/crates/testkit/tests/left_lying.rs
+++ b/crates/testkit/tests/left_lying.rs
@@ -240,3 +240,19 @@
     }
     assert!(waited > 80, "{waited} jobs waited or ran as the troubles ended");
 }
+
+/// What nobody waits for fails on the machine that is used already, and goes to another. (It once came
+/// back to the same one for ever.)
+#[test]
+fn what_nobody_waits_for_leaves_a_faulty_machine() {
+    for seed in 0..4 {
+        let idle = JobSpec { priority: Priority::Low, class: "spare".into(), ..array(2, 1, 1.0, 20.0) };
+        let jobs = vec![(2.0, array(1, 1, 1.0, 3000.0), None), (40.0, idle, None)];
+        let mut sim = day(seed, Guards::default(), 4, jobs);
+        sim.run(30.0);
+        sim.strike(Fault::Sick { nth: 0 });
+        assert_eq!(sim.run(400.0), [], "seed {seed}");
+        assert!(sim.failures > 0, "seed {seed}: nothing failed");
+        assert_eq!(sim.unfinished(), ["req-1"], "seed {seed}");
+    }
+}
