Idle machines are kept for gangs for three leases at least

Cause: with boots that take 10 s they were given back after 30, while what the gang waits for runs for longer. Change: the bound is the longer of a stuck boot and three leases.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -347,7 +347,7 @@
         let lease_s = self.settings.params.workers.lease_s;
         let silent_s = self.d.silent_s / 2.0;
         let prompt = self.prompt_classes();
-        let (asleep, bound) = (self.guards.asleep, self.guards.bound);
+        let (asleep, bound, dark_hold_s) = (self.guards.asleep, self.guards.bound, self.d.dark_hold_s);
         let Role::Leader(l) = &mut self.role else { return };
         let (since, reach) = (l.since, &l.fleet.reach);
         // Nobody could give it work before. (After an outage whatever stood idle was once given
@@ -413,7 +413,7 @@
             // Not beyond the time in which the others would have come. (What could never be whole
             // once kept the last machines to be had from others for ever.)
             let boot = types.iter().find(|t| t.name == m.machine_type).map_or(60.0, |t| t.boot_s);
-            let in_time = !bound || now - m.idle_since < boot * own.boot_stuck;
+            let in_time = !bound || now - m.idle_since < (boot * own.boot_stuck).max(dark_hold_s);
             if let Some(n) = waits.filter(|n| **n > 0 && in_time) {
                 *n -= 1;
                 continue;
