A node that is back knows from the gate that large submissions go into parts

Cause: a node that has just begun has heard no other node, so it took them for earlier versions and stored a large submission whole.

Change: until it knows better, a node reads the format that is stored as read by all. A large submission is refused (503, asked again) for the moment until that was answered.

--- a/crates/core/src/archive.rs
+++ b/crates/core/src/archive.rs
@@ -220,6 +220,20 @@
         }
     }
 
+    /// Looks whether the gate is open, until it is known that every node has this version.
+    pub(crate) fn look_at_gate(&mut self) {
+        if !self.newest_forms() && self.versions.gate.begin(self.now, self.d.renew_s) {
+            self.state(Purpose::GateLook, StateOp::Get(FORMAT_KEY.to_string()));
+        }
+    }
+
+    pub(crate) fn on_gate_look(&mut self, r: StateReply) {
+        self.versions.gate.end(matches!(r, StateReply::Item(_) | StateReply::Missing(_)));
+        if matches!(r, StateReply::Item(Item { value: Value::Format(f), .. }) if f >= FORMAT) {
+            self.versions.is_evident();
+        }
+    }
+
     pub(crate) fn on_format_write(&mut self, token: u64, format: u32, r: StateReply) {
         let Some(l) = self.lead(token) else { return };
         l.archive.format_busy = false;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -125,6 +125,7 @@
     Move {
         token: u64,
     },
+    GateLook,
     FormatLook {
         token: u64,
     },
@@ -698,6 +699,7 @@
             Purpose::JobWatch { token, sent } => self.on_job_watch(token, sent, r),
             Purpose::Commit { token, serial } => self.on_commit(token, serial, r),
             Purpose::Move { token } => self.on_move(token, r),
+            Purpose::GateLook => self.on_gate_look(r),
             Purpose::FormatLook { token } => self.on_format_look(token, r),
             Purpose::FormatWrite { token, format } => self.on_format_write(token, format, r),
             Purpose::Awaited { token, id, over } => self.on_awaited(token, &id, over, r),
@@ -723,6 +725,7 @@
 
     fn on_time(&mut self) {
         self.follow_leader();
+        self.look_at_gate();
         self.users_on_time();
         self.hedges_on_time();
         self.polls_on_time();
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -247,7 +247,13 @@
         let fit = self.limits.value_bytes();
         let mut record = JobRecord { status, ..JobRecord::new(spec, self.wall, fit) };
         let (mut stub, mut parts) = (None, Vec::new());
-        if json_size(&record) + RECORD_BYTES / 2 > fit && self.newest_forms() {
+        let large = json_size(&record) + RECORD_BYTES / 2 > fit;
+        // (A node that was back at once stored such a job whole, which the coming limits never let
+        // the leader write again: it never ran.)
+        if large && !self.newest_forms() && !self.versions.gate.seen() {
+            return self.refuse(req, 503, "not known yet whether all nodes read parts");
+        }
+        if large && self.newest_forms() {
             let nonce = nonce(self.wall, self.rng.gen());
             let (slim, pieces) = record.clone().split(nonce, fit);
             (record.per_page, record.parts) = (slim.per_page, slim.parts.clone());
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -1,6 +1,7 @@
 //! Which format of records and messages every node reads, while old and new versions serve
 //! side by side. `docs/upgrade.md` argues each opening.
 
+use crate::io::Time;
 use crate::record::FORMAT;
 use settings::Peer;
 use std::collections::BTreeMap;
@@ -11,6 +12,37 @@
 pub struct Versions {
     said: BTreeMap<String, u32>,
     evident: bool,
+    pub gate: GateLook,
+}
+
+/// This node's looks at the format that is stored as read by all. One that has just begun has
+/// heard nobody; what it cannot know from that it reads there.
+#[derive(Debug, Default)]
+pub struct GateLook {
+    busy: bool,
+    next: Time,
+    seen: bool,
+}
+
+impl GateLook {
+    /// Whether the gate has been seen, open or not.
+    pub fn seen(&self) -> bool {
+        self.seen
+    }
+
+    /// Whether to look `now`; again `every` seconds later.
+    pub fn begin(&mut self, now: Time, every: Time) -> bool {
+        let due = !self.busy && now >= self.next;
+        if due {
+            (self.busy, self.next) = (true, now + every);
+        }
+        due
+    }
+
+    /// A look has ended; whether it was answered.
+    pub fn end(&mut self, answered: bool) {
+        (self.busy, self.seen) = (false, self.seen || answered);
+    }
 }
 
 impl Versions {
--- a/crates/testkit/tests/lost_answers.rs
+++ b/crates/testkit/tests/lost_answers.rs
@@ -6,7 +6,9 @@
 
 use anisecroft_testkit::{Fault, Setup, Sim};
 use common::{setup, unlimited};
-use engine::record::{JobRecord, StoredPlacement, Value, LEADER_KEY};
+use engine::record::{
+    JobRecord, LeaderRecord, StoredPlacement, Value, FORMAT, FORMAT_KEY, LEADER_KEY, TYPES_KEY,
+};
 use engine::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use settings::NextLimits;
@@ -271,6 +273,31 @@
     assert_eq!(s.started(request), ["req-2/0"]);
 }
 
+/// A node that is back and has heard nobody yet stores a large job in parts all the same, if that was
+/// agreed on. (Seeds 112 and 261 of many days: such a job, stored whole, was left waiting for ever
+/// when the limits fell.)
+#[test]
+fn a_node_that_is_back_knows_what_all_read() {
+    let leader = LeaderRecord { node: "elsewhere".into(), at: 0.0, again: 0, lease: 0 };
+    let items = [
+        (LEADER_KEY.into(), Value::Leader(leader)),
+        (TYPES_KEY.into(), Value::Types(vec![big()])),
+        (FORMAT_KEY.into(), Value::Format(FORMAT)),
+    ];
+    let mut settings = settings();
+    settings.params.state.next = Some(NextLimits { value_kb: Some(2.0), ..NextLimits::default() });
+    let mut s = Stage::with(settings, items);
+    let names = (0..40).map(|n| format!("{}{n}", "type-with-a-long-name-".repeat(4)));
+    let large = JobSpec { types: Some(names.chain(["big".to_string()]).collect()), ..spec("req-1", 1) };
+    for _ in 0..4 {
+        s.submit(&large);
+        s.run(0.015);
+    }
+    s.run(0.5);
+    assert_eq!(s.store.count("j/"), 1);
+    assert!(s.store.count("w/") > 1 && s.store.largest("j/") <= 2048, "{}", s.store.largest("j/"));
+}
+
 /// A job is divided anew in several transactions; the answer to the one from which that counts is lost.
 /// (Placements on pages written before stayed unlaunched for ever.)
 #[test]
