--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -218,7 +218,7 @@
         }
         assert_eq!(sim.ledger.broken, [], "{what}");
     }
-    assert_eq!(sim.run(700.0), [], "{what}");
+    assert_eq!(sim.run(1000.0), [], "{what}");
     assert_eq!(sim.unfinished(), Vec::<String>::new(), "{what}");
     sim.overtaken
 }
