Tests: one plain array and one machine type for answers and lost answers

Cause: both new drivers spelled out the same job and the machine type that common has. Change: common::plain_array serves both, and common::types the machines; values as they were.

--- a/crates/testkit/tests/anyorder/mod.rs
+++ b/crates/testkit/tests/anyorder/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod machines;
 
+use crate::common::{plain_array, types};
 use anisecroft_testkit::state::Store;
 use engine::record::*;
 use engine::*;
@@ -17,44 +18,11 @@
 pub const NAMES: [&str; 5] = ["n-0", "n-1", "n-2", "n-3", "n-4"];
 
 pub fn spec(id: &str) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "work".into(),
-        team: "dispatch".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks: 3,
-        cores: 1.0,
-        accelerators: 1.0,
-        memory_gb: 1.0,
-        image: "img-1".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: None,
-        awaits: Vec::new(),
-    }
+    plain_array(id, 3)
 }
 
 pub fn big() -> MachineType {
-    MachineType {
-        name: "big".into(),
-        cores: 16.0,
-        accelerators: 4.0,
-        memory_gb: 64.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 4.0,
-        spot_price: 1.5,
-        boot_s: 10.0,
-        zones: vec!["a".into(), "b".into()],
-    }
+    types().remove(0)
 }
 
 /// KiB of a value under the limits to come, and the bytes that are used of it.
--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -98,6 +98,34 @@
     settings::Derived::from(&settings())
 }
 
+/// A small array that nothing binds, of short tasks.
+#[allow(dead_code)]
+pub fn plain_array(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "work".into(),
+        team: "dispatch".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks,
+        cores: 1.0,
+        accelerators: 1.0,
+        memory_gb: 1.0,
+        image: "img-1".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+        awaits: Vec::new(),
+    }
+}
+
 /// An array without a bound to zones or kinds of machine.
 #[allow(dead_code)]
 pub fn long_array() -> JobSpec {
--- a/crates/testkit/tests/stage/mod.rs
+++ b/crates/testkit/tests/stage/mod.rs
@@ -1,5 +1,6 @@
 //! One controller before a state service whose answers a test loses or holds back as it likes.
 
+use crate::common::{plain_array, types};
 use anisecroft_testkit::state::Store;
 use engine::record::{Value, FORMAT, FORMAT_KEY};
 use engine::*;
@@ -49,44 +50,11 @@
 }
 
 pub fn big() -> MachineType {
-    MachineType {
-        name: "big".into(),
-        cores: 16.0,
-        accelerators: 4.0,
-        memory_gb: 64.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 4.0,
-        spot_price: 1.5,
-        boot_s: 10.0,
-        zones: vec!["a".into()],
-    }
+    MachineType { zones: vec!["a".into()], ..types().remove(0) }
 }
 
 pub fn spec(id: &str, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "work".into(),
-        team: "dispatch".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks,
-        cores: 1.0,
-        accelerators: 1.0,
-        memory_gb: 1.0,
-        image: "img-1".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: None,
-        awaits: Vec::new(),
-    }
+    plain_array(id, tasks)
 }
 
 pub fn task(id: &str, number: u32, state: TaskState) -> TaskReport {
