--- /dev/null
+++ b/review/lib/deployment.py
@@ -0,0 +1,286 @@
+"""Starts the controllers with the commands of the deploy file, and stands for users."""
+import asyncio
+import os
+import random
+import shlex
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+
+import wire
+from stand_ins import Cluster, Record, StateService
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ZONES = ["bangkok-north", "chiang-mai", "khon-kaen"]
+SETTINGS = {"report_s": 3.0, "lease_s": 19.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 39.0,
+            "zones": ZONES, "value_kb": 32.0, "txn_ops": 48, "rps": 150.0, "write_rps": 60.0}
+
+
+def free_addresses(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    addresses = ["127.0.0.1:%d" % item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+class Node:
+    """One controller: its settings file and its process."""
+
+    def __init__(self, label, zone, front, back):
+        self.label, self.zone, self.front, self.back = label, zone, front, back
+        self.process = None
+        self.stopped = False
+
+
+class Deployment:
+    def __init__(self, record_path, settings=None, nodes=3):
+        self.settings = {**SETTINGS, **(settings or {})}
+        self.record = Record(record_path)
+        self.folder = tempfile.mkdtemp(prefix="review-")
+        addresses = free_addresses(2 * nodes)
+        self.nodes = [Node(f"stable-{i}", ZONES[i], addresses[2 * i], addresses[2 * i + 1])
+                      for i in range(nodes)]
+        self.state = StateService(self.record)
+        self.cluster = Cluster(self.record, self.nodes, self.settings)
+        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
+            self.command = shlex.split(tomllib.load(file)["run"])
+        if not os.path.exists(os.path.join(ROOT, self.command[0])):
+            print("the program is not built")
+            self.close()
+            sys.exit(2)
+
+    async def start(self, start_nodes=True):
+        await self.state.start([node.label for node in self.nodes])
+        self.cluster.nodes = self.nodes
+        for node in self.nodes:
+            pass
+        original = self.cluster.nodes
+        self.cluster.nodes = [node.label for node in original]
+        await self.cluster.start()
+        self.cluster.nodes = original
+        for node in self.nodes:
+            self.write_settings(node)
+            if start_nodes:
+                self.start_node(node)
+
+    def write_settings(self, node):
+        s = self.settings
+        lines = [f'label = "{node.label}"', f'location = "{node.zone}"', f'front = "{node.front}"',
+                 f'back = "{node.back}"']
+        for peer in self.nodes:
+            if peer is not node:
+                lines += ["[[seeds]]", f'label = "{peer.label}"', f'location = "{peer.zone}"',
+                          f'peer_addr = "{getattr(node, "peer_addrs", {}).get(peer.label, peer.back)}"']
+        lines += ["[external]", f'cloud = "{self.cluster.cloud_addresses[node.label]}"',
+                  f'state = "{self.state.addresses[node.label]}"', "[params]", f"size = {len(self.nodes)}",
+                  "zones = [" + ", ".join(f'"{zone}"' for zone in ZONES) + "]", "clock_error_ms = 5.0"]
+        for name, gpus, most in (("dispatch", 32.0, 72.0), ("clinics", 48.0, 152.0), ("fleet", 24.0, 96.0)):
+            lines += ["[[params.teams]]", f'name = "{name}"', "cpus = 0.0", "cpus_max = 0.0",
+                      f"gpus = {gpus}", f"gpus_max = {most}"]
+        lines += ["[[params.objectives]]", 'kind = "wait"', 'class = "urgent-rebook"', "within_s = 12.0",
+                  "share = 0.82", "[[params.objectives]]", 'kind = "deadline"', 'class = "eta-refit"',
+                  "share = 0.9", "times = 1.0",
+                  "[params.workers]", f"report_s = {s['report_s']}", f"lease_s = {s['lease_s']}",
+                  f"gang_wait_s = {s['gang_wait_s']}", f"gang_peer_s = {s['gang_peer_s']}",
+                  f"cancel_s = {s['cancel_s']}",
+                  "[params.state]", f"rps = {s['rps']}", f"write_rps = {s['write_rps']}",
+                  f"value_kb = {s['value_kb']}", f"txn_ops = {s['txn_ops']}"]
+        if "next" in s:
+            lines += ["[params.state.next]"] + [f"{key} = {value}" for key, value in s["next"].items()]
+        lines += ["[params.cloud]", "rps = 2.0", "list_lag_s = 3.0",
+                  "[params.resources]", "cpu_share = 0.12", "memory_mb = 104.0",
+                  f"max_connections = {s.get('max_connections', 1200)}"]
+        node.config = os.path.join(self.folder, node.label + ".toml")
+        with open(node.config, "w") as file:
+            file.write("\n".join(lines) + "\n")
+
+    def start_node(self, node):
+        log = open(os.path.join(self.folder, node.label + ".log"), "ab")
+        node.process = subprocess.Popen(self.command + [node.config], cwd=ROOT, stderr=log, stdout=log,
+                                        stdin=subprocess.DEVNULL,
+                                        env={**os.environ, "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")})
+        node.stopped = False
+        self.record.write(f"node: {node.label} started, pid {node.process.pid}")
+
+    def kill(self, node):
+        node.process.kill()
+        node.process.wait()
+        self.record.write(f"node: {node.label} killed")
+
+    def pause(self, node):
+        node.process.send_signal(signal.SIGSTOP)
+        node.stopped = True
+        self.record.write(f"node: {node.label} stopped (SIGSTOP)")
+
+    def resume(self, node):
+        node.process.send_signal(signal.SIGCONT)
+        node.stopped = False
+        self.record.write(f"node: {node.label} continued (SIGCONT)")
+
+    def ended_nodes(self):
+        return [node for node in self.nodes if node.process is not None and node.process.poll() is not None]
+
+    def leader(self):
+        label, token = self.state.leader()
+        return next((node for node in self.nodes if node.label == label), None), token
+
+    def close(self):
+        for node in self.nodes:
+            if node.process is not None and node.process.poll() is None:
+                node.process.kill()
+                node.process.wait()
+        self.keep_logs()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def keep_logs(self):
+        target = os.environ.get("KEEP_LOGS")
+        if target:
+            os.makedirs(target, exist_ok=True)
+            for node in self.nodes:
+                path = os.path.join(self.folder, node.label + ".log")
+                if os.path.exists(path):
+                    shutil.copy(path, target)
+
+    # --- users ---
+
+    def spec(self, number, **fields):
+        spec = {"id": "req-%06d" % number, "lane": "eta-refit", "crew": "fleet", "shape": "array",
+                "urgency": "standard", "legs": 1, "cores": 10.0, "accelerators": 1.0, "memGb": 54.0,
+                "kit": "img-01", "sizeGb": 2.0, "breeds": None, "yard": None, "together": False,
+                "spread": False, "loaners": True, "etaS": 8.0, "waypointS": 0.0, "stashS": 0.0,
+                "dueS": None}
+        spec.update(fields)
+        return spec
+
+    async def ask(self, node, method, path, body=None, timeout=5.0):
+        """One request on a new connection. Returns (status, body) or (None, reason)."""
+        connection = wire.Connection(node.front)
+        try:
+            status, answer, headers = await connection.request(method, path, body, timeout)
+            return status, answer
+        except (OSError, asyncio.TimeoutError) as error:
+            return None, type(error).__name__
+        finally:
+            connection.close()
+
+    async def wait_ready(self, limit_s=20.0):
+        until = time.monotonic() + limit_s
+        for node in self.nodes:
+            while True:
+                status, _ = await self.ask(node, "GET", "/up", timeout=1.0)
+                if status == 200:
+                    break
+                if time.monotonic() > until:
+                    self.record.write(f"{node.label} is not healthy")
+                    return False
+                await asyncio.sleep(0.2)
+        return True
+
+    def check_answer(self, job_id, asked_at, status, answer, node, kind):
+        """The rules about answers, for a request sent at `asked_at`."""
+        cluster, record = self.cluster, self.record
+        accepted = cluster.accepted.get(job_id)
+        was_accepted = accepted is not None and accepted < asked_at
+        final = cluster.told_final.get(job_id)
+        was_final = final is not None and final[1] < asked_at
+        if kind == "poll" and status == 404 and was_accepted:
+            record.breach("forgotten", f"{job_id} gets 404 at {node.label}")
+        if kind == "submit" and status in (400, 422) and was_accepted:
+            record.breach("forgotten", f"repeated submission of {job_id} gets {status} at {node.label}")
+        if status not in (200, 201) or not isinstance(answer, dict) or "status" not in answer:
+            return
+        if answer.get("id") != job_id:
+            record.breach("foreign", f"answer for {answer.get('id')} to a request for {job_id}")
+        told = answer["status"]
+        if job_id not in cluster.jobs:
+            record.breach("invented", f"{job_id} gets {status}")
+            return
+        if was_final and told != final[0]:
+            record.breach("went_back", f"{job_id} is {told} at {node.label} after {final[0]}")
+        if told == "withdrawn" and job_id not in cluster.asked_cancel and not self.awaits_cancelled(job_id):
+            record.breach("went_back", f"{job_id} is called withdrawn, its user did not cancel it")
+        if told == "done" and len(cluster.finished.get(job_id, ())) < cluster.jobs[job_id]["legs"]:
+            record.breach("not_done", f"{job_id} is called done")
+        if told in ("done", "withdrawn"):
+            cluster.told_final.setdefault(job_id, (told, time.monotonic()))
+            if told == "withdrawn":
+                cluster.told_cancelled.setdefault(job_id, time.monotonic())
+        cluster.accepted.setdefault(job_id, time.monotonic())
+
+    def awaits_cancelled(self, job_id):
+        pending, seen = [job_id], set()
+        while pending:
+            spec = self.cluster.jobs.get(pending.pop())
+            for awaited in (spec or {}).get("awaits") or []:
+                if awaited in self.cluster.asked_cancel:
+                    return True
+                if awaited not in seen:
+                    seen.add(awaited)
+                    pending.append(awaited)
+        return False
+
+    async def submit(self, spec, node=None, limit_s=60.0, quiet=False):
+        """Submits as a user does: with retries, for up to 60 s."""
+        job_id = spec["id"]
+        self.cluster.jobs.setdefault(job_id, spec)
+        body = {key: value for key, value in spec.items() if key != "run_s"}
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            target = node or self.pick()
+            asked = time.monotonic()
+            status, answer = await self.ask(target, "POST", "/api/jobs", body)
+            if not quiet:
+                self.record.write(f"user: submit {job_id} at {target.label}: {status} {answer}")
+            self.check_answer(job_id, asked, status, answer, target, "submit")
+            if status in (200, 201, 400, 422):
+                return status
+            await asyncio.sleep(1.0)
+        return None
+
+    async def poll(self, job_id, node=None, quiet=False):
+        target = node or self.pick()
+        asked = time.monotonic()
+        status, answer = await self.ask(target, "GET", f"/api/jobs/{job_id}", timeout=2.0)
+        if not quiet:
+            self.record.write(f"user: poll {job_id} at {target.label}: {status} {answer}")
+        self.check_answer(job_id, asked, status, answer, target, "poll")
+        return status, (answer or {}).get("status") if isinstance(answer, dict) else None
+
+    async def cancel(self, job_id, node=None, limit_s=60.0):
+        self.cluster.asked_cancel.add(job_id)
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            target = node or self.pick()
+            asked = time.monotonic()
+            status, answer = await self.ask(target, "POST", f"/api/jobs/{job_id}/cancel")
+            self.record.write(f"user: cancel {job_id} at {target.label}: {status} {answer}")
+            self.check_answer(job_id, asked, status, answer, target, "cancel")
+            if status == 200:
+                return answer["status"]
+            await asyncio.sleep(1.0)
+        return None
+
+    def pick(self):
+        up = [node for node in self.nodes if not node.stopped and node.process.poll() is None]
+        return random.choice(up or self.nodes)
+
+
+async def main_with(deployment, play):
+    """Runs `play` and ends everything. Returns the exit code."""
+    code = 2
+    try:
+        await deployment.start()
+        code = await play(deployment)
+    finally:
+        for rule, text in deployment.record.broken:
+            print(f"broken: {rule}: {text}")
+        deployment.close()
+    return code
