--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 import wire
 from stand_ins import Cluster, Record, StateService
@@ -22,10 +23,18 @@
 
 
 def free_addresses(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    addresses = ["127.0.0.1:%d" % item.getsockname()[1] for item in sockets]
+    """Free ports below the range of outgoing connections, so that a restart finds its port free."""
+    addresses, sockets = [], []
+    while len(addresses) < count:
+        port = random.randrange(20000, 32000)
+        item = socket.socket()
+        try:
+            item.bind(("127.0.0.1", port))
+        except OSError:
+            item.close()
+            continue
+        sockets.append(item)
+        addresses.append(f"127.0.0.1:{port}")
     for item in sockets:
         item.close()
     return addresses
@@ -59,13 +68,7 @@
 
     async def start(self, start_nodes=True):
         await self.state.start([node.label for node in self.nodes])
-        self.cluster.nodes = self.nodes
-        for node in self.nodes:
-            pass
-        original = self.cluster.nodes
-        self.cluster.nodes = [node.label for node in original]
-        await self.cluster.start()
-        self.cluster.nodes = original
+        await self.cluster.start([node.label for node in self.nodes])
         for node in self.nodes:
             self.write_settings(node)
             if start_nodes:
@@ -128,6 +131,12 @@
     def ended_nodes(self):
         return [node for node in self.nodes if node.process is not None and node.process.poll() is not None]
 
+    def cpu_s(self, node):
+        """Processor time that the node's process has used."""
+        with open(f"/proc/{node.process.pid}/stat") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def leader(self):
         label, token = self.state.leader()
         return next((node for node in self.nodes if node.label == label), None), token
@@ -279,6 +288,8 @@
     try:
         await deployment.start()
         code = await play(deployment)
+    except Exception:
+        traceback.print_exc()
     finally:
         for rule, text in deployment.record.broken:
             print(f"broken: {rule}: {text}")
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -232,8 +232,8 @@
                        "localGb": 80.0, "pullGbPerS": 4.0, "price": 10.1, "lowPrice": 2.92,
                        "bootS": 45.0, "yards": settings["zones"]}]
 
-    async def start(self):
-        for node in self.nodes:
+    async def start(self, nodes):
+        for node in nodes:
             async def handler(method, path, body, node=node):
                 fault = self.cloud_faults.get(node)
                 await asyncio.sleep(0.05)
