review: case 1 lists a machine's state as of the list's time

Change: the list tells whether a machine was up at the time that it describes; machines are up within two seconds; the teams of the stand-in settings can be set.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -72,13 +72,13 @@
         return rows
 
     def rows(self, at):
-        return [{**entry["machine"].listing(at), "heldS": at - entry["from"]} for entry in self.history
+        return [entry["machine"].listing(at) for entry in self.history
                 if entry["from"] <= at and (entry["to"] is None or entry["to"] > at)]
 
 
 async def play(deployment):
     record, cluster = deployment.record, deployment.cluster
-    cluster.boot_s = 1.5
+    cluster.boot_s = 1.3
     cluster.most_machines = 24
     cloud = Cloud(deployment)
     if not await deployment.wait_ready():
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -19,6 +19,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 ZONES = ["bangkok-north", "chiang-mai", "khon-kaen"]
 SETTINGS = {"report_s": 3.0, "lease_s": 19.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 39.0,
+            "teams": (("dispatch", 32.0, 72.0), ("clinics", 48.0, 152.0), ("fleet", 24.0, 96.0)),
             "zones": ZONES, "value_kb": 32.0, "txn_ops": 48, "rps": 150.0, "write_rps": 60.0}
 
 
@@ -85,7 +86,7 @@
         lines += ["[external]", f'cloud = "{self.cluster.cloud_addresses[node.label]}"',
                   f'state = "{self.state.addresses[node.label]}"', "[params]", f"size = {len(self.nodes)}",
                   "zones = [" + ", ".join(f'"{zone}"' for zone in ZONES) + "]", "clock_error_ms = 5.0"]
-        for name, gpus, most in (("dispatch", 32.0, 72.0), ("clinics", 48.0, 152.0), ("fleet", 24.0, 96.0)):
+        for name, gpus, most in s["teams"]:
             lines += ["[[params.teams]]", f'name = "{name}"', "cpus = 0.0", "cpus_max = 0.0",
                       f"gpus = {gpus}", f"gpus_max = {most}"]
         lines += ["[[params.objectives]]", 'kind = "wait"', 'class = "urgent-rebook"', "within_s = 12.0",
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -331,6 +331,7 @@
         self.machine_type, self.zone, self.spot = machine_type, zone, spot
         self.rented = time.monotonic()
         self.up = self.gone = False
+        self.up_since = None
         self.session, self.tally, self.token = 1, 0, 0
         self.tasks = {}
         self.images = set()
@@ -346,10 +347,12 @@
     async def open(self):
         self.server, self.addr = await wire.serve(self.on_direct)
 
-    def listing(self, now):
+    def listing(self, at):
+        """The machine's entry in the cloud's list, as of the time `at`."""
+        is_up = self.up_since is not None and self.up_since <= at
         return {"id": self.name, "endpoint": self.addr, "breed": self.machine_type, "yard": self.zone,
-                "loaners": self.spot, "status": "running" if self.up else "starting",
-                "heldS": now - self.rented}
+                "loaners": self.spot, "status": "running" if is_up else "starting",
+                "heldS": at - self.rented}
 
     def remove(self):
         self.gone = True
@@ -395,7 +398,7 @@
     async def report_loop(self, boot_s):
         await asyncio.sleep(boot_s)
         self.up = True
-        self.answered = time.monotonic()
+        self.up_since = self.answered = time.monotonic()
         self.processes.append(asyncio.ensure_future(self.lease_loop()))
         report_s = self.cluster.settings["report_s"]
         nodes = self.cluster.nodes
