review: case 1 with the settings of the imagery deployment

Cause: the outage of the cloud is named for that deployment, and the rental need not be carried out late.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,13 +9,14 @@
 from deployment import Deployment, main_with  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-OUTAGE_S = 15.0
+SITE = "tuilenord-imagery"
+OUTAGE_S = 25.0
 # `cloud.list_lag_s` of the settings. A list is this old, or up to twice as old.
-LIST_LAG_S = 3.0
+LIST_LAG_S = 8.0
 OLDEST_LIST_S = 2 * LIST_LAG_S - 0.05
-# A rental is carried out this long after the last request for the list, or at once if that has
-# passed already: at most 1.4 s late.
-RENTAL_AFTER_LIST_S = 1.4
+# The outage ends this long after a request for the list. The machines that are rented then are shown
+# by the second list that is answered after it, and not by the third one if that is older.
+AFTER_LIST_S = 2.8
 
 
 class Cloud:
@@ -26,8 +27,7 @@
         self.down = False
         self.history = []
         self.shown = set()
-        self.list_asked_at = 0.0
-        self.down_until = 0.0
+        self.list_asked = asyncio.Event()
         self.rented_at_once = self.cluster.rent
         self.cluster.rent = self.rent
         for node in deployment.nodes:
@@ -41,18 +41,12 @@
     async def answer(self, method, path, body, execute):
         is_list = method == "GET" and path.startswith("/rentals")
         if is_list:
-            self.list_asked_at = time.monotonic()
-            if self.down and self.list_asked_at >= self.down_until:
-                # The outage ends with this request.
-                self.down = False
-                self.record.write("TROUBLE: the cloud's interface is up again")
+            self.list_asked.set()
+            self.list_asked = asyncio.Event()
         if self.down:
             return 503, {"error": "trouble"}
         if is_list:
             return 200, {"stalls": self.list(), "hasNext": False}
-        if path == "/rentals" and body["booking"] not in self.cluster.rentals:
-            late_s = self.list_asked_at + RENTAL_AFTER_LIST_S - time.monotonic()
-            await asyncio.sleep(max(0.0, late_s))
         if path == "/rentals/delete":
             for entry in self.history:
                 if entry["machine"].name in body["stalls"] and entry["to"] is None:
@@ -76,6 +70,16 @@
                 if entry["from"] <= at and (entry["to"] is None or entry["to"] > at)]
 
 
+async def submit_jobs(deployment):
+    """Submits two jobs; each task takes most of a machine."""
+    for number in (1, 2):
+        spec = deployment.spec(number, lane="mosaic-train", legs=3, cores=57.0, accelerators=8.0,
+                               memGb=410.0, etaS=60.0, sizeGb=0.2, loaners=False)
+        if await deployment.submit(spec) != 201:
+            return False
+    return True
+
+
 async def play(deployment):
     record, cluster = deployment.record, deployment.cluster
     cluster.boot_s = 1.3
@@ -83,21 +87,24 @@
     cloud = Cloud(deployment)
     if not await deployment.wait_ready():
         return 2
-    await asyncio.sleep(3)
+    await asyncio.sleep(1)
     if TROUBLE:
-        cloud.down, cloud.down_until = True, time.monotonic() + OUTAGE_S
+        cloud.down = True
         record.write("TROUBLE: the cloud's interface is down")
-    for number in (1, 2):
-        spec = deployment.spec(number, legs=3, cores=43.0, accelerators=4.0, memGb=230.0, etaS=60.0,
-                               sizeGb=0.2, loaners=False)
-        if await deployment.submit(spec) != 201:
-            return 2
-    if TROUBLE:
+        submitting = asyncio.ensure_future(submit_jobs(deployment))
         await asyncio.sleep(OUTAGE_S)
-        while cloud.down:
-            await asyncio.sleep(0.1)
+        await cloud.list_asked.wait()
+        await asyncio.sleep(AFTER_LIST_S)
+        cloud.down = False
+        record.write("TROUBLE: the cloud's interface is up again")
+    else:
+        await cloud.list_asked.wait()
+        await asyncio.sleep(AFTER_LIST_S)
+        submitting = asyncio.ensure_future(submit_jobs(deployment))
+    if not await submitting:
+        return 2
     started = record.now()
-    while record.now() < started + 45 and not record.broken:
+    while record.now() < started + 55 and not record.broken:
         await asyncio.sleep(0.2)
         if deployment.ended_nodes():
             return 2
@@ -107,4 +114,4 @@
     return 1 if any(rule == "ran_twice" for rule, _ in record.broken) else 0
 
 
-sys.exit(asyncio.run(main_with(Deployment(os.path.join(HERE, "record.txt")), play)))
+sys.exit(asyncio.run(main_with(Deployment(os.path.join(HERE, "record.txt"), site=SITE), play)))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -65,4 +65,4 @@
     return 1 if any(rule == "forgotten" for rule, _ in record.broken) else 0
 
 
-sys.exit(asyncio.run(main_with(Deployment(os.path.join(HERE, "record.txt")), play)))
+sys.exit(asyncio.run(main_with(Deployment(os.path.join(HERE, "record.txt"), site="rotfai-care-transport"), play)))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -17,10 +17,39 @@
 from stand_ins import Cluster, Record, StateService
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-ZONES = ["bangkok-north", "chiang-mai", "khon-kaen"]
-SETTINGS = {"report_s": 3.0, "lease_s": 19.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 39.0,
-            "teams": (("dispatch", 32.0, 72.0), ("clinics", 48.0, 152.0), ("fleet", 24.0, 96.0)),
-            "zones": ZONES, "value_kb": 32.0, "txn_ops": 48, "rps": 150.0, "write_rps": 60.0}
+# From the settings of the two deployments, at their smallest size (BRIEF).
+SITES = {
+    "rotfai-care-transport": {
+        "zones": ["bangkok-north", "chiang-mai", "khon-kaen"],
+        "report_s": 3.0, "lease_s": 19.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 39.0,
+        "rps": 150.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 48,
+        "cloud_rps": 2.0, "list_lag_s": 3.0,
+        "cpu_share": 0.12, "memory_mb": 104.0, "max_connections": 1200,
+        "teams": (("dispatch", 32.0, 72.0), ("clinics", 48.0, 152.0), ("fleet", 24.0, 96.0)),
+        "objectives": ({"kind": "wait", "class": "urgent-rebook", "within_s": 12.0, "share": 0.82},
+                       {"kind": "deadline", "class": "eta-refit", "share": 0.9, "times": 1.0}),
+        "types": ({"sku": "chedi-node", "cores": 48.0, "accelerators": 4.0, "memGb": 288.0,
+                   "localGb": 80.0, "pullGbPerS": 0.6, "price": 10.1, "lowPrice": 2.92, "bootS": 45.0},),
+        "job": {"lane": "eta-refit", "crew": "fleet", "cores": 10.0, "accelerators": 1.0, "memGb": 54.0},
+    },
+    "tuilenord-imagery": {
+        "zones": ["montreal-east", "quebec-city", "saguenay"],
+        "report_s": 3.0, "lease_s": 29.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 54.0,
+        "rps": 150.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": 24,
+        "cloud_rps": 6.0, "list_lag_s": 8.0,
+        "cpu_share": 0.16, "memory_mb": 136.0, "max_connections": 3000,
+        "teams": (("imagery-ops", 0.0, 0.0),),
+        "objectives": ({"kind": "wait", "class": "mosaic-train", "within_s": 25.0, "share": 0.85},
+                       {"kind": "deadline", "class": "cloud-mask", "share": 0.65, "times": 1.0}),
+        "types": ({"sku": "epinette-small", "cores": 24.0, "accelerators": 4.0, "memGb": 96.0,
+                   "localGb": 80.0, "pullGbPerS": 0.6, "price": 13.12, "lowPrice": 4.98, "bootS": 40.0},
+                  {"sku": "epinette-large", "cores": 64.0, "accelerators": 8.0, "memGb": 512.0,
+                   "localGb": 80.0, "pullGbPerS": 0.6, "price": 25.56, "lowPrice": 9.95, "bootS": 30.0}),
+        "job": {"lane": "cloud-mask", "crew": "imagery-ops", "cores": 6.0, "accelerators": 1.0,
+                "memGb": 48.0},
+    },
+}
+ZONES = SITES["rotfai-care-transport"]["zones"]
 
 
 def free_addresses(count):
@@ -51,12 +80,12 @@
 
 
 class Deployment:
-    def __init__(self, record_path, settings=None, nodes=3):
-        self.settings = {**SETTINGS, **(settings or {})}
+    def __init__(self, record_path, settings=None, nodes=3, site="rotfai-care-transport"):
+        self.settings = {**SITES[site], **(settings or {})}
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-")
         addresses = free_addresses(2 * nodes)
-        self.nodes = [Node(f"stable-{i}", ZONES[i], addresses[2 * i], addresses[2 * i + 1])
+        self.nodes = [Node(f"stable-{i}", self.settings["zones"][i], addresses[2 * i], addresses[2 * i + 1])
                       for i in range(nodes)]
         self.state = StateService(self.record)
         self.cluster = Cluster(self.record, self.nodes, self.settings)
@@ -85,13 +114,16 @@
                           f'peer_addr = "{getattr(node, "peer_addrs", {}).get(peer.label, peer.back)}"']
         lines += ["[external]", f'cloud = "{self.cluster.cloud_addresses[node.label]}"',
                   f'state = "{self.state.addresses[node.label]}"', "[params]", f"size = {len(self.nodes)}",
-                  "zones = [" + ", ".join(f'"{zone}"' for zone in ZONES) + "]", "clock_error_ms = 5.0"]
+                  "zones = [" + ", ".join(f'"{zone}"' for zone in s["zones"]) + "]",
+                  "clock_error_ms = 5.0"]
         for name, gpus, most in s["teams"]:
             lines += ["[[params.teams]]", f'name = "{name}"', "cpus = 0.0", "cpus_max = 0.0",
                       f"gpus = {gpus}", f"gpus_max = {most}"]
-        lines += ["[[params.objectives]]", 'kind = "wait"', 'class = "urgent-rebook"', "within_s = 12.0",
-                  "share = 0.82", "[[params.objectives]]", 'kind = "deadline"', 'class = "eta-refit"',
-                  "share = 0.9", "times = 1.0",
+        for objective in s["objectives"]:
+            lines.append("[[params.objectives]]")
+            lines += [f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {value}"
+                      for key, value in objective.items()]
+        lines += [
                   "[params.workers]", f"report_s = {s['report_s']}", f"lease_s = {s['lease_s']}",
                   f"gang_wait_s = {s['gang_wait_s']}", f"gang_peer_s = {s['gang_peer_s']}",
                   f"cancel_s = {s['cancel_s']}",
@@ -99,9 +131,9 @@
                   f"value_kb = {s['value_kb']}", f"txn_ops = {s['txn_ops']}"]
         if "next" in s:
             lines += ["[params.state.next]"] + [f"{key} = {value}" for key, value in s["next"].items()]
-        lines += ["[params.cloud]", "rps = 2.0", "list_lag_s = 3.0",
-                  "[params.resources]", "cpu_share = 0.12", "memory_mb = 104.0",
-                  f"max_connections = {s.get('max_connections', 1200)}"]
+        lines += ["[params.cloud]", f"rps = {s['cloud_rps']}", f"list_lag_s = {s['list_lag_s']}",
+                  "[params.resources]", f"cpu_share = {s['cpu_share']}", f"memory_mb = {s['memory_mb']}",
+                  f"max_connections = {s['max_connections']}"]
         node.config = os.path.join(self.folder, node.label + ".toml")
         with open(node.config, "w") as file:
             file.write("\n".join(lines) + "\n")
@@ -162,11 +194,10 @@
     # --- users ---
 
     def spec(self, number, **fields):
-        spec = {"id": "req-%06d" % number, "lane": "eta-refit", "crew": "fleet", "shape": "array",
-                "urgency": "standard", "legs": 1, "cores": 10.0, "accelerators": 1.0, "memGb": 54.0,
+        spec = {"id": "req-%06d" % number, "shape": "array", "urgency": "standard", "legs": 1,
                 "kit": "img-01", "sizeGb": 2.0, "breeds": None, "yard": None, "together": False,
                 "spread": False, "loaners": True, "etaS": 8.0, "waypointS": 0.0, "stashS": 0.0,
-                "dueS": None}
+                "dueS": None, **self.settings["job"]}
         spec.update(fields)
         return spec
 
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -228,9 +228,7 @@
         self.gangs = {}
         self.boot_s = 4.0
         self.most_machines = 12
-        self.types = [{"sku": "chedi-node", "cores": 48.0, "accelerators": 4.0, "memGb": 288.0,
-                       "localGb": 80.0, "pullGbPerS": 4.0, "price": 10.1, "lowPrice": 2.92,
-                       "bootS": 45.0, "yards": settings["zones"]}]
+        self.types = [{**item, "yards": settings["zones"]} for item in settings["types"]]
 
     async def start(self, nodes):
         for node in nodes:
@@ -500,7 +498,7 @@
                 del self.tasks[key]
 
     def has_room(self, spec, live, task):
-        size = self.cluster.types[0]
+        size = next(item for item in self.cluster.types if item["sku"] == self.machine_type)
         for field in ("cores", "accelerators", "memGb"):
             used = sum(self.cluster.jobs[other.job][field] for other in live if other is not task)
             if used + spec[field] > size[field] + 1e-6:
@@ -523,7 +521,8 @@
 
     async def run_task(self, task, spec):
         if spec["kit"] not in self.images:
-            await asyncio.sleep(spec["sizeGb"] / 4.0)
+            size = next(item for item in self.cluster.types if item["sku"] == self.machine_type)
+            await asyncio.sleep(spec["sizeGb"] / size["pullGbPerS"])
             self.images.add(spec["kit"])
         number = int(task.leg.rsplit("/", 1)[1])
         if number in self.cluster.finished.get(task.job, ()):
