--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -2,6 +2,7 @@
 them, and the record of what was sent, answered and run."""
 import asyncio
 import bisect
+import json
 import random
 import time
 import urllib.parse
@@ -9,6 +10,10 @@
 import wire
 
 
+# "The limit for request bodies is 64 KiB", and "size limits are counted in that form" (JSON).
+MAX_BODY_BYTES = 64 * 1024
+
+
 class Record:
     """Writes events to a file, each with the seconds since the start of the run."""
 
@@ -404,8 +409,14 @@
             node = nodes[self.at]
             sent, session = time.monotonic(), self.session
             report = self.report()
-            self.report_bytes = len(wire.pack(report))
+            self.report_bytes = len(json.dumps(report))
             self.wake.clear()
+            if self.report_bytes > MAX_BODY_BYTES:
+                # The worker must list all of its tasks, and may not send a larger body.
+                self.cluster.record.write(f"worker: {self.name} cannot report {len(self.tasks)} tasks: "
+                                          f"{self.report_bytes} bytes")
+                await asyncio.sleep(1.0)
+                continue
             status, answer = await self.send(node, report)
             if status == 200:
                 self.take_answer(sent, session, answer)
