Log the times that decide whether a machine list had to show a machine

Two causes fit the record, and the logs could not tell them apart: 1. The age of a machine counts from the first attempt of its rental, so that a machine of a few seconds counts as old enough for every list to show it. Predicts that only machines of the rental that was repeated through the outage are removed, with known_s = exists_s + duration of the rental. 2. The list is judged by a wrong time: by a start from before the outage, or by an age that the list's heldS moved back. Predicts that every machine that is listed once and then hidden is removed, with a large list_s, or a known_s that follows held_s.

Change: 'scale-out completed' has attempts and took_s, 'machine removed from the cloud's list' has list_s, known_s, exists_s and silent_s, new debug line 'machine listed for the first time'. Machine::exists_since is the arrival of the first message that proves that the machine exists; it is only logged so far.

--- a/crates/controller/src/autoscaling/machine_list.rs
+++ b/crates/controller/src/autoscaling/machine_list.rs
@@ -6,7 +6,7 @@
 use crate::{CallContext, CloudReply, CloudRequest, Controller, Time};
 use protocol::cloud::{ListedMachine, MachineState};
 use std::collections::BTreeSet;
-use tracing::info;
+use tracing::{debug, info};
 
 /// Number of machines after which the rest of a list is not read.
 const MAX_LISTED_MACHINES: usize = 20_000;
@@ -105,8 +105,8 @@
         scale_in_failed_machines(leader, &list);
         leader.planning.needed = true;
         for machine in missing {
-            info!(%machine, "machine removed from the cloud's list");
             if let Role::Leader(leader) = &mut self.role {
+                log_removal(leader, &machine, now);
                 leader.fleet.add_tombstone(&machine);
             }
             self.remove_machine_work(&machine, true);
@@ -125,7 +125,11 @@
             info!(machine = %listed.id, "unknown machine in the cloud's list, registered");
         }
         let machine = leader.cluster.machines.entry(listed.id.clone()).or_insert_with(|| {
-            Machine::new(&listed.id, &listed.machine_type, &listed.zone, listed.spot, now - listed.age_s)
+            let created_at = now - listed.age_s;
+            let mut machine =
+                Machine::new(&listed.id, &listed.machine_type, &listed.zone, listed.spot, created_at);
+            machine.exists_since = now;
+            machine
         });
         let learned_address = apply_listing(machine, listed, now);
         if learned_address {
@@ -136,6 +140,10 @@
 
 /// Applies a list entry to its machine. Returns whether the machine's address became known by this.
 fn apply_listing(machine: &mut Machine, listed: &ListedMachine, now: Time) -> bool {
+    if !machine.listed {
+        debug!(machine = %machine.id, held_s = listed.age_s, known_s = now - machine.known_since,
+               exists_s = now - machine.exists_since, "machine listed for the first time");
+    }
     machine.listed = true;
     machine.unconfirmed_since = None;
     // The machine may have sent heartbeats before it was listed, but it is older than these. Without
@@ -171,6 +179,17 @@
     leader.cluster.machines.values().filter(is_missing).map(|machine| machine.id.clone()).collect()
 }
 
+/// Logs the removal of a machine that the list no longer shows, with the times that decide whether
+/// the list had to show it, relative to the request for the list.
+fn log_removal(leader: &LeaderState, id: &str, now: Time) {
+    let Some(machine) = leader.cluster.machines.get(id) else { return };
+    let requested_at = leader.fleet.listing.started_at;
+    info!(machine = %id, list_s = now - requested_at, known_s = requested_at - machine.known_since,
+          exists_s = requested_at - machine.exists_since,
+          silent_s = machine.last_heard_at.map(|heard_at| now - heard_at),
+          "machine removed from the cloud's list");
+}
+
 /// Quarantines machines that the cloud reports as failed and marks them as terminating.
 fn scale_in_failed_machines(leader: &mut LeaderState, list: &[ListedMachine]) {
     for listed in list.iter().filter(|listed| listed.state == MachineState::Failed) {
--- a/crates/controller/src/autoscaling/scale_out.rs
+++ b/crates/controller/src/autoscaling/scale_out.rs
@@ -31,7 +31,10 @@
 /// A scale-out request whose outcome is not known yet.
 pub(super) struct PendingScaleOut {
     request: RentRequest,
+    /// Time of the first attempt.
     requested_at: Time,
+    /// Number of attempts so far.
+    attempts: u32,
     in_flight: bool,
     retry_at: Time,
 }
@@ -276,8 +279,13 @@
             spot: pool.spot,
             count: choice.machines,
         };
-        leader.fleet.pending_scale_out =
-            Some(PendingScaleOut { request, requested_at: now, in_flight: false, retry_at: now });
+        leader.fleet.pending_scale_out = Some(PendingScaleOut {
+            request,
+            requested_at: now,
+            attempts: 0,
+            in_flight: false,
+            retry_at: now,
+        });
     }
 
     fn send_scale_out(&mut self) {
@@ -285,6 +293,7 @@
         let token = leader.fencing_token;
         let Some(pending) = &mut leader.fleet.pending_scale_out else { return };
         pending.in_flight = true;
+        pending.attempts += 1;
         let request = pending.request.clone();
         self.call_cloud(CallContext::ScaleOut { token }, CloudRequest::Rent(request));
     }
@@ -321,10 +330,15 @@
 ) {
     let request = &pending.request;
     info!(kind = %request.machine_type, zone = %request.zone, spot = request.spot,
-          asked = request.count, got = machines.len(), "scale-out completed");
+          asked = request.count, got = machines.len(), attempts = pending.attempts,
+          took_s = now - pending.requested_at, "scale-out completed");
     for id in machines {
         leader.cluster.machines.entry(id.clone()).or_insert_with(|| {
-            Machine::new(id, &request.machine_type, &request.zone, request.spot, pending.requested_at)
+            let requested_at = pending.requested_at;
+            let mut machine =
+                Machine::new(id, &request.machine_type, &request.zone, request.spot, requested_at);
+            machine.exists_since = now;
+            machine
         });
     }
     let location = location_of(request);
--- a/crates/controller/src/model/machine.rs
+++ b/crates/controller/src/model/machine.rs
@@ -43,6 +43,9 @@
     pub phase: MachinePhase,
     /// Time at which it was created, or became known.
     pub known_since: Time,
+    /// Arrival of the first message that proves that the machine exists: the reply to its rental, a
+    /// list that shows it, or a heartbeat.
+    pub exists_since: Time,
     /// Position of the newest heartbeat, including replies to direct commands.
     pub newest_position: HeartbeatPosition,
     /// Position of the newest heartbeat that was not a reply to a direct command. Only such heartbeats
@@ -109,6 +112,7 @@
             spot,
             phase: MachinePhase::Booting,
             known_since: now,
+            exists_since: now,
             newest_position: (0, 0),
             newest_heartbeat_position: (0, 0),
             highest_token_seen: 0,
