Judge a missing machine by the first proof that it exists, not by its rental's start

Cause: a listed machine counts as gone if a list misses it that was requested more than twice the lag after its creation. For the creation the leader took the first attempt of the rental, which an outage precedes by any time. A list may be older than the one before; for a machine rented 15 s ago, a list of 15.95 s proved nothing, but counted as proof.

Change: the list must have been requested more than twice the lag after Machine::exists_since, the arrival of the first message that proves the existence (reply to the rental, list, heartbeat). A machine that is only old enough by its estimated age gets no new work (possibly_gone) until a list shows it, and keeps its tasks.

Why it holds: such a message arrives after the creation, for any length of the outage and any late rental; a list shows what the cloud had at most twice the lag before its request, in whatever order lists come. The age that a list states is not used: it counts from a request. No bound was changed.

--- a/crates/controller/src/autoscaling/machine_list.rs
+++ b/crates/controller/src/autoscaling/machine_list.rs
@@ -11,6 +11,9 @@
 /// Number of machines after which the rest of a list is not read.
 const MAX_LISTED_MACHINES: usize = 20_000;
 
+/// Time added to the largest age of a list, for the call and the clocks.
+const LIST_AGE_MARGIN_S: Time = 2.0;
+
 /// Progress of reading the machine list.
 #[derive(Debug, Default)]
 pub(crate) struct MachineListing {
@@ -145,6 +148,7 @@
                exists_s = now - machine.exists_since, "machine listed for the first time");
     }
     machine.listed = true;
+    machine.possibly_gone = false;
     machine.unconfirmed_since = None;
     // The machine may have sent heartbeats before it was listed, but it is older than these. Without
     // this, no machine would be old enough for scale-in during the first minute after a failover.
@@ -166,17 +170,25 @@
 }
 
 /// Returns the known machines that no longer exist: they were listed before, but are missing from a
-/// list that is recent enough to contain them. The data of a list is up to twice `list_lag_s` old.
-fn missing_machines(leader: &LeaderState, list: &[ListedMachine], list_lag_s: Time) -> Vec<String> {
+/// list that has to contain them. The data of a list is up to twice `list_lag_s` old, and may be older
+/// than that of the list before. So a machine is gone only if its existence had been proven for that
+/// long when the list was requested. Its estimated age proves nothing, because it may include attempts
+/// of the rental that were not carried out; a machine that is only old enough by this age may be gone.
+fn missing_machines(leader: &mut LeaderState, list: &[ListedMachine], list_lag_s: Time) -> Vec<String> {
     let listed: BTreeSet<&str> = list.iter().map(|machine| machine.id.as_str()).collect();
-    let max_list_age_s = 2.0 * list_lag_s + 2.0;
-    let started_at = leader.fleet.listing.started_at;
-    let is_missing = |machine: &&Machine| {
-        !listed.contains(machine.id.as_str())
-            && machine.listed
-            && started_at - machine.known_since > max_list_age_s
-    };
-    leader.cluster.machines.values().filter(is_missing).map(|machine| machine.id.clone()).collect()
+    let shown_since = leader.fleet.listing.started_at - (2.0 * list_lag_s + LIST_AGE_MARGIN_S);
+    let mut missing = Vec::new();
+    for machine in leader.cluster.machines.values_mut() {
+        if !machine.listed || listed.contains(machine.id.as_str()) {
+            continue;
+        }
+        if machine.exists_since < shown_since {
+            missing.push(machine.id.clone());
+        } else if machine.known_since < shown_since {
+            machine.possibly_gone = true;
+        }
+    }
+    missing
 }
 
 /// Logs the removal of a machine that the list no longer shows, with the times that decide whether
--- a/crates/controller/src/model/machine.rs
+++ b/crates/controller/src/model/machine.rs
@@ -81,6 +81,9 @@
     pub declared_dead: bool,
     /// Whether it has appeared in the cloud's list.
     pub listed: bool,
+    /// Whether a list does not show it that should show it by its estimated age. That is no proof that it
+    /// is gone, but it gets no work until a list shows it.
+    pub possibly_gone: bool,
     /// Time at which the cloud reclaims it, if that was announced.
     pub spot_reclaim_at: Option<Time>,
     /// Its tasks, according to the heartbeat at `content_position`.
@@ -129,6 +132,7 @@
             up_since: now,
             declared_dead: false,
             listed: false,
+            possibly_gone: false,
             spot_reclaim_at: None,
             tasks: Vec::new(),
             images: ImageCache::default(),
@@ -262,6 +266,7 @@
         let is_cordoned = self.quarantined
             || self.suspected_since.is_some()
             || self.unconfirmed_since.is_some()
+            || self.possibly_gone
             || self.reachability.receives_nothing();
         self.phase != MachinePhase::Terminating && self.spot_reclaim_at.is_none() && !is_cordoned
     }
--- a/crates/simulation/src/cloud.rs
+++ b/crates/simulation/src/cloud.rs
@@ -2,7 +2,11 @@
 
 use controller::{CloudReply, CloudRequest};
 use protocol::cloud::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Largest age of a list that `reordering_lag_factor` returns, as a multiple of the usual lag. The
+/// contents of the list are recorded at intervals, so its actual age is slightly larger.
+const MAX_LAG_FACTOR: f64 = 1.95;
 
 /// Rented machine. Times are in simulated seconds.
 #[derive(Debug, Clone)]
@@ -52,6 +56,10 @@
     pub deleted: Vec<String>,
     /// Number of calls refused because of the rate limit.
     pub refused: u64,
+    /// Number of lists that hid an existing machine that the list before showed.
+    pub reordered_lists: u64,
+    /// Machines on the last page that was returned.
+    last_page: BTreeSet<String>,
     listings: Vec<Listing>,
     /// Machines returned for each rental request, so that a repeated request gets the same ones.
     rentals: BTreeMap<String, Vec<String>>,
@@ -71,6 +79,8 @@
             machines: BTreeMap::new(),
             deleted: Vec::new(),
             refused: 0,
+            reordered_lists: 0,
+            last_page: BTreeSet::new(),
             listings: Vec::new(),
             rentals: BTreeMap::new(),
             next_id: 1,
@@ -147,14 +157,35 @@
         admitted
     }
 
-    /// Returns a page of the machines after an id, as listed at the time `as_of`.
-    fn list(&self, after: Option<&str>, as_of: f64) -> CloudReply {
+    /// Returns the lag of a list, as a multiple of the usual one: the largest if that hides an existing
+    /// machine that the last page showed, and otherwise the smallest.
+    pub fn reordering_lag_factor(&self, now: f64) -> f64 {
+        let oldest = self.machines_listed_at(now - self.list_lag_s * MAX_LAG_FACTOR);
+        let is_hidden = |id: &String| !oldest.iter().any(|machine| machine.id == *id);
+        if self.last_page.iter().any(is_hidden) {
+            MAX_LAG_FACTOR
+        } else {
+            1.0
+        }
+    }
+
+    fn machines_listed_at(&self, as_of: f64) -> &[ListedMachine] {
         let listing = self.listings.iter().rev().find(|listing| listing.at <= as_of);
-        let all = listing.map_or(&[][..], |listing| &listing.machines);
+        listing.map_or(&[][..], |listing| &listing.machines)
+    }
+
+    /// Returns a page of the machines after an id, as listed at the time `as_of`.
+    fn list(&mut self, after: Option<&str>, as_of: f64) -> CloudReply {
+        let all = self.machines_listed_at(as_of);
         let is_after = |machine: &&ListedMachine| after.is_none_or(|after| machine.id.as_str() > after);
         let mut machines: Vec<ListedMachine> = all.iter().filter(is_after).cloned().collect();
         let more = machines.len() > MAX_LISTED;
         machines.truncate(MAX_LISTED);
+        let page: BTreeSet<String> = machines.iter().map(|machine| machine.id.clone()).collect();
+        let hides_machine =
+            self.last_page.iter().any(|id| !page.contains(id) && self.machines.contains_key(id));
+        self.reordered_lists += u64::from(after.is_none() && hides_machine);
+        self.last_page = page;
         CloudReply::List(MachineList { machines, more })
     }
 
--- a/crates/simulation/src/sim/fault.rs
+++ b/crates/simulation/src/sim/fault.rs
@@ -132,6 +132,12 @@
         /// Duration of the fault.
         duration_s: f64,
     },
+    /// Each machine list is as old as the settings allow if that hides a machine that the list before
+    /// showed, and as recent as possible otherwise.
+    ReorderedMachineLists {
+        /// Duration of the fault.
+        duration_s: f64,
+    },
     /// New machines boot within two seconds.
     FastBoots {
         /// Duration of the fault.
@@ -271,6 +277,7 @@
             | Fault::IsolatedWithWorkers { duration_s, .. }
             | Fault::ZonePartition { duration_s, .. }
             | Fault::CloudOutage { duration_s }
+            | Fault::ReorderedMachineLists { duration_s }
             | Fault::FastBoots { duration_s }
             | Fault::MachineHang { duration_s, .. }
             | Fault::ResponsesLost { duration_s, .. }
--- a/crates/simulation/src/sim/fault_injection.rs
+++ b/crates/simulation/src/sim/fault_injection.rs
@@ -7,6 +7,7 @@
 pub(super) struct ActiveFaults {
     pub(super) store_down_until: f64,
     pub(super) cloud_down_until: f64,
+    pub(super) reordered_lists_until: f64,
     pub(super) peer_connections_refused_until: f64,
     pub(super) fast_boots_until: f64,
     pub(super) rotating_targets_until: f64,
@@ -200,6 +201,9 @@
                 faults.zone_partition = ZoneOutage { until: now + duration_s, zone };
             }
             Fault::CloudOutage { duration_s } => faults.cloud_down_until = now + duration_s,
+            Fault::ReorderedMachineLists { duration_s } => {
+                faults.reordered_lists_until = now + duration_s;
+            }
             Fault::FastBoots { duration_s } => faults.fast_boots_until = now + duration_s,
             Fault::SlowWorkerResponses { max_delay_s, duration_s } => {
                 faults.slow_worker_responses = disturbance(duration_s, max_delay_s);
--- a/crates/simulation/src/sim/inspection.rs
+++ b/crates/simulation/src/sim/inspection.rs
@@ -37,6 +37,11 @@
         self.cloud.rented_count_in(zone)
     }
 
+    /// Returns the number of machine lists that hid an existing machine that the list before showed.
+    pub fn reordered_list_count(&self) -> u64 {
+        self.cloud.reordered_lists
+    }
+
     /// Returns the number of machines that currently exist.
     pub fn machine_count(&self) -> usize {
         self.cloud.machines.len()
--- a/crates/simulation/src/sim/store_access.rs
+++ b/crates/simulation/src/sim/store_access.rs
@@ -111,7 +111,10 @@
         let reply = if self.now < self.faults.cloud_down_until {
             CloudReply::Refused
         } else {
-            let lag_factor = self.rng.gen_range(1.0..2.0);
+            let mut lag_factor = self.rng.gen_range(1.0..2.0);
+            if self.now < self.faults.reordered_lists_until {
+                lag_factor = self.cloud.reordering_lag_factor(self.now);
+            }
             let fast = self.now < self.faults.fast_boots_until;
             let boot_s = if fast { 0.2..2.0 } else { 2.0..12.0 };
             let boot_s = self.rng.gen_range(boot_s);
--- a/crates/simulation/tests/common/single_controller.rs
+++ b/crates/simulation/tests/common/single_controller.rs
@@ -18,6 +18,20 @@
     /// Machines that the cloud lists.
     pub listed_machines: Vec<String>,
     pub cloud_down: bool,
+    /// While set, the cloud's lists are out of order.
+    pub reordered_lists: Option<ReorderedLists>,
+    /// Number of machines in each list that the cloud has returned.
+    pub list_lengths: Vec<usize>,
+    /// Age that the cloud's list states for every machine.
+    pub listed_age_s: f64,
+    /// Machines that the cloud rents out next, all at once.
+    pub rentable_machines: Vec<String>,
+    /// While set, rentals are executed but get no reply.
+    pub rental_replies_lost: bool,
+    /// Deletions that the cloud has executed.
+    pub deleted_machines: Vec<String>,
+    /// Machines rented by each request.
+    rentals: BTreeMap<String, Vec<String>>,
     /// While set, the store refuses to list keys, so that no records are read.
     pub lists_refused: bool,
     /// While set, writes are not executed and get no reply.
@@ -31,6 +45,21 @@
     last_request: RequestId,
 }
 
+/// Times between which one list shows the machines and later ones hide them again.
+pub struct ReorderedLists {
+    /// Time from which the most recent list shows the machines.
+    pub shown_at: f64,
+    /// Time until which the oldest list hides them.
+    pub hidden_until: f64,
+}
+
+impl ReorderedLists {
+    fn show_machines(&self, driver: &SingleController) -> bool {
+        let were_shown = driver.list_lengths.iter().any(|length| *length > 0);
+        driver.now >= self.hidden_until || driver.now >= self.shown_at && !were_shown
+    }
+}
+
 /// A worker that acts only when the test says so.
 #[derive(Debug, Clone)]
 pub struct ManualWorker {
@@ -139,6 +168,13 @@
             now,
             listed_machines,
             cloud_down: false,
+            reordered_lists: None,
+            list_lengths: Vec::new(),
+            listed_age_s: 500.0,
+            rentable_machines: Vec::new(),
+            rental_replies_lost: false,
+            deleted_machines: Vec::new(),
+            rentals: BTreeMap::new(),
             lists_refused: false,
             writes_unanswered: false,
             remaining_reads: None,
@@ -166,6 +202,9 @@
     }
 
     fn machine_list(&self) -> MachineList {
+        if self.reordered_lists.as_ref().is_some_and(|lists| !lists.show_machines(self)) {
+            return MachineList { machines: Vec::new(), more: false };
+        }
         let machine = |id: &String| ListedMachine {
             id: id.clone(),
             addr: Some(addr_of(id)),
@@ -173,7 +212,7 @@
             zone: "a".into(),
             spot: false,
             state: MachineState::Running,
-            age_s: 500.0,
+            age_s: self.listed_age_s,
         };
         MachineList { machines: self.listed_machines.iter().map(machine).collect(), more: false }
     }
@@ -184,15 +223,34 @@
         }
         match op {
             CloudRequest::Types => CloudReply::Types(MachineTypes { types: super::common::machine_types() }),
-            CloudRequest::List { .. } => CloudReply::List(self.machine_list()),
-            CloudRequest::Rent(_) => CloudReply::NoCapacity,
+            CloudRequest::List { .. } => {
+                let list = self.machine_list();
+                self.list_lengths.push(list.machines.len());
+                CloudReply::List(list)
+            }
+            CloudRequest::Rent(request) => self.rental_reply(&request.request),
             CloudRequest::Delete(names) => {
+                self.deleted_machines.extend(names.iter().cloned());
                 self.listed_machines.retain(|m| !names.contains(m));
                 CloudReply::Done
             }
         }
     }
 
+    /// Rents out the machines that are available. A repeated request gets the same machines.
+    fn rental_reply(&mut self, request: &str) -> CloudReply {
+        let is_repeated = self.rentals.contains_key(request);
+        if !is_repeated && !self.rentable_machines.is_empty() {
+            let machines = std::mem::take(&mut self.rentable_machines);
+            self.rentals.insert(request.to_string(), machines);
+        }
+        match self.rentals.get(request) {
+            None => CloudReply::NoCapacity,
+            Some(_) if self.rental_replies_lost => CloudReply::Unknown,
+            Some(machines) => CloudReply::Machines(Machines { machines: machines.clone() }),
+        }
+    }
+
     pub fn feed(&mut self, input: Input) {
         for o in self.controller.handle(self.now, 1e9 + self.now, input) {
             match o {
