Count a machine's age from the rental request that was answered

What callers saw: jobs accepted during an outage of the cloud of 75 s start a boot time late. Machines that are rented as it ends are deleted in the same second with 'scaling in machine: boot timed out'.

Every reader of the age was wrong by the outage: boot time-out, minimum charge, the plan's estimate.

Change: Machine::created_at (known_since before) counts from the attempt that was answered.

Why it holds: attempts before it were refused, or their outcome is unknown; if one of these was carried out, the cloud's list states the age and the estimate moves back, whatever the outage. It proves nothing: what proves that a machine is gone uses exists_since.

--- a/crates/controller/src/agents/heartbeat_ingestion.rs
+++ b/crates/controller/src/agents/heartbeat_ingestion.rs
@@ -176,7 +176,7 @@
         machine.unconfirmed_since.take_if(|_| heartbeat.fencing_token == self.fencing_token);
         if machine.last_heard_at.is_none() {
             info!(machine = %id, kind = %heartbeat.machine_type, zone = %heartbeat.zone, spot = heartbeat.spot,
-                  took_s = now - machine.known_since, "machine up");
+                  took_s = now - machine.created_at, "machine up");
             self.planning.needed = true;
             let cached_images = self.cluster.cached_images.remove(id).unwrap_or_default();
             for (image, used_at, size_gb) in cached_images {
--- a/crates/controller/src/autoscaling/machine_list.rs
+++ b/crates/controller/src/autoscaling/machine_list.rs
@@ -144,7 +144,7 @@
 /// Applies a list entry to its machine. Returns whether the machine's address became known by this.
 fn apply_listing(machine: &mut Machine, listed: &ListedMachine, now: Time) -> bool {
     if !machine.listed {
-        debug!(machine = %machine.id, held_s = listed.age_s, known_s = now - machine.known_since,
+        debug!(machine = %machine.id, held_s = listed.age_s, known_s = now - machine.created_at,
                exists_s = now - machine.exists_since, "machine listed for the first time");
     }
     machine.listed = true;
@@ -152,7 +152,7 @@
     machine.unconfirmed_since = None;
     // The machine may have sent heartbeats before it was listed, but it is older than these. Without
     // this, no machine would be old enough for scale-in during the first minute after a failover.
-    machine.known_since = machine.known_since.min(now - listed.age_s);
+    machine.created_at = machine.created_at.min(now - listed.age_s);
     if machine.machine_type.is_empty() {
         machine.machine_type.clone_from(&listed.machine_type);
         machine.zone.clone_from(&listed.zone);
@@ -184,7 +184,7 @@
         }
         if machine.exists_since < shown_since {
             missing.push(machine.id.clone());
-        } else if machine.known_since < shown_since {
+        } else if machine.created_at < shown_since {
             machine.possibly_gone = true;
         }
     }
@@ -196,7 +196,7 @@
 fn log_removal(leader: &LeaderState, id: &str, now: Time) {
     let Some(machine) = leader.cluster.machines.get(id) else { return };
     let requested_at = leader.fleet.listing.started_at;
-    info!(machine = %id, list_s = now - requested_at, known_s = requested_at - machine.known_since,
+    info!(machine = %id, list_s = now - requested_at, known_s = requested_at - machine.created_at,
           exists_s = requested_at - machine.exists_since,
           silent_s = machine.last_heard_at.map(|heard_at| now - heard_at),
           "machine removed from the cloud's list");
--- a/crates/controller/src/autoscaling/scale_in.rs
+++ b/crates/controller/src/autoscaling/scale_in.rs
@@ -73,7 +73,7 @@
     /// lease to send a heartbeat. Otherwise, a new leader could take an idle machine that has been up
     /// for a long time for one that does not finish booting.
     fn has_boot_timed_out(&self, machine: &Machine) -> bool {
-        self.now - machine.known_since > self.boot_s(machine) * self.max_boot_factor
+        self.now - machine.created_at > self.boot_s(machine) * self.max_boot_factor
             && self.now - self.elected_at > self.lease_s
             && !self.zones.is_unreachable(&machine.zone)
     }
@@ -84,7 +84,7 @@
             && machine.tasks.is_empty()
             && machine.spot_reclaim_at.is_none()
             && self.now - machine.idle_since > self.boot_s(machine) * self.max_idle_factor
-            && self.now - machine.known_since > MIN_CHARGE_S
+            && self.now - machine.created_at > MIN_CHARGE_S
     }
 
     /// Returns the idle machines among `machines`, longest idle first.
--- a/crates/controller/src/autoscaling/scale_out.rs
+++ b/crates/controller/src/autoscaling/scale_out.rs
@@ -35,6 +35,8 @@
     requested_at: Time,
     /// Number of attempts so far.
     attempts: u32,
+    /// Time of the last attempt.
+    last_sent_at: Time,
     in_flight: bool,
     retry_at: Time,
 }
@@ -283,6 +285,7 @@
             request,
             requested_at: now,
             attempts: 0,
+            last_sent_at: now,
             in_flight: false,
             retry_at: now,
         });
@@ -294,6 +297,7 @@
         let Some(pending) = &mut leader.fleet.pending_scale_out else { return };
         pending.in_flight = true;
         pending.attempts += 1;
+        pending.last_sent_at = self.now;
         let request = pending.request.clone();
         self.call_cloud(CallContext::ScaleOut { token }, CloudRequest::Rent(request));
     }
@@ -321,7 +325,8 @@
     ZonalPool::new(&MachinePool::new(&request.machine_type, request.spot), &request.zone)
 }
 
-/// Adds the machines that the cloud provided to the cluster.
+/// Adds the machines that the cloud provided to the cluster. Their age counts from the attempt that was
+/// answered: earlier ones may not have been carried out. If one was, the cloud's list shows it.
 fn record_rented_machines(
     leader: &mut LeaderState,
     pending: &PendingScaleOut,
@@ -334,9 +339,8 @@
           took_s = now - pending.requested_at, "scale-out completed");
     for id in machines {
         leader.cluster.machines.entry(id.clone()).or_insert_with(|| {
-            let requested_at = pending.requested_at;
-            let mut machine =
-                Machine::new(id, &request.machine_type, &request.zone, request.spot, requested_at);
+            let sent_at = pending.last_sent_at;
+            let mut machine = Machine::new(id, &request.machine_type, &request.zone, request.spot, sent_at);
             machine.exists_since = now;
             machine
         });
--- a/crates/controller/src/inspection.rs
+++ b/crates/controller/src/inspection.rs
@@ -45,6 +45,12 @@
         self.machines().filter(|machine| machine.declared_dead).map(|machine| machine.id.as_str())
     }
 
+    /// Returns the seconds since the assumed creation of a machine, if this leader knows it.
+    pub fn machine_age_s(&self, id: &str) -> Option<f64> {
+        let machine = self.machines().find(|machine| machine.id == id)?;
+        Some(self.now - machine.created_at)
+    }
+
     /// Returns the number of placements that this leader knows of.
     pub fn placement_count(&self) -> usize {
         let Some(leader) = self.inspected_leader() else { return 0 };
--- a/crates/controller/src/model/cluster.rs
+++ b/crates/controller/src/model/cluster.rs
@@ -80,7 +80,7 @@
         let names = self.image_names();
         let up = self.machines.values().filter(|machine| machine.phase == MachinePhase::Up);
         up.map(|machine| {
-            let images = machine.latest_images(machine.known_since, max_images);
+            let images = machine.latest_images(machine.created_at, max_images);
             MachineImages {
                 id: machine.id.clone(),
                 images: images.map(|(image, size_gb)| (names[image as usize].to_string(), size_gb)).collect(),
--- a/crates/controller/src/model/machine.rs
+++ b/crates/controller/src/model/machine.rs
@@ -41,8 +41,10 @@
     pub spot: bool,
     /// Lifecycle phase.
     pub phase: MachinePhase,
-    /// Time at which it was created, or became known.
-    pub known_since: Time,
+    /// Estimated time of its creation: the sending of the rental request that was answered, the arrival of
+    /// its first heartbeat, or earlier according to the age that the cloud's list states. The boot
+    /// time-out, the minimum charge and plans count from it; it proves nothing (see `exists_since`).
+    pub created_at: Time,
     /// Arrival of the first message that proves that the machine exists: the reply to its rental, a
     /// list that shows it, or a heartbeat.
     pub exists_since: Time,
@@ -114,7 +116,7 @@
             zone: zone.to_string(),
             spot,
             phase: MachinePhase::Booting,
-            known_since: now,
+            created_at: now,
             exists_since: now,
             newest_position: (0, 0),
             newest_heartbeat_position: (0, 0),
--- a/crates/controller/src/scheduling/machines.rs
+++ b/crates/controller/src/scheduling/machines.rs
@@ -96,7 +96,7 @@
     let ready_at = match machine.last_heard_at {
         Some(_) => context.now,
         None => {
-            let boot_ends_at = machine.known_since + machine_type.boot_s * BOOT_TIME_MARGIN;
+            let boot_ends_at = machine.created_at + machine_type.boot_s * BOOT_TIME_MARGIN;
             boot_ends_at.max(context.now + MIN_BOOT_LEFT_S)
         }
     };
