Boot time-out: a lease for every worker after an outage of the store, too

What callers saw: after an outage of the state service of 75 s, machines that booted meanwhile are deleted with 'scaling in machine: boot timed out', and work waits for another boot.

Cause: a machine counts as booting until the leader hears it, and beyond its grace the leader answers nobody. Workers got one lease to send a first heartbeat, but counted from the election, not from the end of the outage, so the first check after it took every such machine for one that never came up.

Change: the lease counts from the time since which the leader has been entitled to act without interruption.

Why it holds: no time in which the leader could not answer counts, whatever its length.

--- a/crates/controller/src/autoscaling/scale_in.rs
+++ b/crates/controller/src/autoscaling/scale_in.rs
@@ -38,7 +38,8 @@
     lease_s: Time,
     /// Time without a heartbeat after which a machine no longer counts as idle.
     max_silence_s: Time,
-    elected_at: Time,
+    /// Time since which the leader has been entitled to act without interruption.
+    entitled_since: Time,
     /// Whether idle machines are kept for a gang only for a limited time.
     gang_wait_is_limited: bool,
     unreachable_zone_retention_s: Time,
@@ -69,12 +70,12 @@
         }
     }
 
-    /// Whether the machine has not finished booting in time. After a failover, every worker gets one
-    /// lease to send a heartbeat. Otherwise, a new leader could take an idle machine that has been up
-    /// for a long time for one that does not finish booting.
+    /// Whether the machine has not finished booting in time. After a failover or an outage of the store,
+    /// every worker gets one lease to send a heartbeat, because none was answered before. Otherwise, a
+    /// leader could take a machine that has been up for a long time for one that does not finish booting.
     fn has_boot_timed_out(&self, machine: &Machine) -> bool {
         self.now - machine.created_at > self.boot_s(machine) * self.max_boot_factor
-            && self.now - self.elected_at > self.lease_s
+            && self.now - self.entitled_since > self.lease_s
             && !self.zones.is_unreachable(&machine.zone)
     }
 
@@ -221,7 +222,7 @@
             max_idle_factor: self.operator.idle_hold,
             lease_s: self.settings.params.workers.lease_s,
             max_silence_s: timing.failure_suspicion_s / 2.0,
-            elected_at: leader.leadership.elected_at,
+            entitled_since: leader.leadership.tenure.entitled_since(),
             gang_wait_is_limited: self.checks.zonal_scale_out,
             unreachable_zone_retention_s: timing.unreachable_zone_retention_s,
             zones: &leader.fleet.zones,
--- a/crates/simulation/tests/common/single_controller.rs
+++ b/crates/simulation/tests/common/single_controller.rs
@@ -8,7 +8,7 @@
 use protocol::cloud::*;
 use protocol::job::*;
 use protocol::worker::*;
-use settings::Operator;
+use settings::{Operator, Peer, Settings};
 use std::collections::BTreeMap;
 
 pub struct SingleController {
@@ -32,6 +32,12 @@
     pub deleted_machines: Vec<String>,
     /// Machines rented by each request.
     rentals: BTreeMap<String, Vec<String>>,
+    /// View of another controller that is a peer, received all the time.
+    pub peer: Option<protocol::peer::View>,
+    /// While set, the store refuses all requests, and watches stay open.
+    pub store_down: bool,
+    /// State in which the cloud lists the machines.
+    pub listed_state: MachineState,
     /// While set, the store refuses to list keys, so that no records are read.
     pub lists_refused: bool,
     /// While set, writes are not executed and get no reply.
@@ -142,6 +148,18 @@
     starts.filter_map(|c| split_task(&c.task)).any(|(id, _)| id == job)
 }
 
+fn single_node_settings(name: &str) -> Settings {
+    let mut settings = super::common::settings();
+    settings.node = name.into();
+    settings.peers.clear();
+    settings
+}
+
+/// The operator's settings, with which no idle machine is scaled in.
+fn operator() -> Operator {
+    Operator { idle_hold: 1000.0, ..Operator::default() }
+}
+
 impl SingleController {
     /// A controller that leads and has read the records in `store`; the cloud lists these machines.
     pub fn leading(store: Store, listed_machines: &[&str], now: f64) -> Self {
@@ -157,17 +175,32 @@
         SingleController::node("n-0", store, listed_machines, now)
     }
 
+    /// A controller that leads and has a peer to which no worker sends heartbeats.
+    pub fn leading_with_peer(listed_machines: &[&str]) -> Self {
+        let mut driver = SingleController::starting(Store::default(), listed_machines, 0.0);
+        let mut settings = single_node_settings("n-0");
+        let node = "n-1".to_string();
+        let addr = settings.peer_addr;
+        settings.peers = vec![Peer { node: node.clone(), zone: String::new(), addr }];
+        driver.controller = Controller::new(settings, operator(), 1);
+        let format = records::FORMAT;
+        driver.peer = Some(protocol::peer::View { node, state_reached: true, format, ..Default::default() });
+        driver.run_until(60.0, |driver| driver.controller.has_recovered());
+        driver.run(1.0);
+        driver
+    }
+
     fn node(name: &str, store: Store, listed_machines: Vec<String>, now: f64) -> Self {
-        let mut settings = super::common::settings();
-        settings.node = name.into();
-        settings.peers.clear();
+        let settings = single_node_settings(name);
         SingleController {
-            // No idle machine is scaled in.
-            controller: Controller::new(settings, Operator { idle_hold: 1000.0, ..Operator::default() }, 1),
+            controller: Controller::new(settings, operator(), 1),
             store,
             now,
             listed_machines,
             cloud_down: false,
+            peer: None,
+            store_down: false,
+            listed_state: MachineState::Running,
             reordered_lists: None,
             list_lengths: Vec::new(),
             listed_age_s: 500.0,
@@ -211,7 +244,7 @@
             machine_type: "big".into(),
             zone: "a".into(),
             spot: false,
-            state: MachineState::Running,
+            state: self.listed_state,
             age_s: self.listed_age_s,
         };
         MachineList { machines: self.listed_machines.iter().map(machine).collect(), more: false }
@@ -269,6 +302,9 @@
     }
 
     fn handle_store_request(&mut self, call: CallId, op: StoreRequest) {
+        if self.store_down && !matches!(op, StoreRequest::Watch { .. }) {
+            return self.feed(Input::Store(call, StoreReply::Refused));
+        }
         if self.lists_refused && matches!(op, StoreRequest::List { .. }) {
             return self.feed(Input::Store(call, StoreReply::Refused));
         }
@@ -281,7 +317,8 @@
                 remaining => *remaining = remaining.map(|n| n - 1),
             }
         }
-        match (self.store.execute(self.now, &op), &op) {
+        let reply = if self.store_down { None } else { self.store.execute(self.now, &op) };
+        match (reply, &op) {
             (Some(reply), _) => self.feed(Input::Store(call, reply)),
             (None, StoreRequest::Watch { wait_ms, .. }) => {
                 self.watches.push((self.now + *wait_ms as f64 / 1000.0, call, op));
@@ -300,19 +337,35 @@
         let end = self.now + seconds;
         while self.now < end && !done(self) {
             self.now += 0.05;
-            self.store.expire_leases(self.now);
-            for (until, call, op) in std::mem::take(&mut self.watches) {
-                let timed_out = (self.now >= until).then(|| self.store.no_events());
-                match self.store.execute(self.now, &op).or(timed_out) {
-                    Some(reply) => self.feed(Input::Store(call, reply)),
-                    None => self.watches.push((until, call, op)),
-                }
+            if !self.store_down {
+                self.advance_store();
+            }
+            if let Some(view) = self.peer.clone() {
+                self.feed(Input::PeerView(view));
             }
             self.feed(Input::Tick);
         }
         done(self)
     }
 
+    /// Ends the store's outage. All leases have their full time again.
+    pub fn end_store_outage(&mut self) {
+        self.store.renew_all_leases(self.now);
+        self.store_down = false;
+    }
+
+    /// Expires leases, and answers the watches that have events or time out.
+    fn advance_store(&mut self) {
+        self.store.expire_leases(self.now);
+        for (until, call, op) in std::mem::take(&mut self.watches) {
+            let timed_out = (self.now >= until).then(|| self.store.no_events());
+            match self.store.execute(self.now, &op).or(timed_out) {
+                Some(reply) => self.feed(Input::Store(call, reply)),
+                None => self.watches.push((until, call, op)),
+            }
+        }
+    }
+
     pub fn send_request(&mut self, request: Request) -> RequestId {
         self.last_request += 1;
         self.feed(Input::Request(self.last_request, request));
--- a/crates/simulation/tests/machine_age.rs
+++ b/crates/simulation/tests/machine_age.rs
@@ -8,8 +8,9 @@
 use anisecroft_simulation::state::Store;
 use anisecroft_simulation::{Fault, ScheduledFault, Setup, Simulation, Submission};
 use common::*;
+use protocol::cloud::MachineState;
 use protocol::job::JobSpec;
-use single_controller::SingleController;
+use single_controller::{ManualWorker, SingleController};
 
 /// Duration of the outages: longer than the boot time-out and the minimum charge.
 const OUTAGE_S: f64 = 75.0;
@@ -80,3 +81,25 @@
     let age_s = driver.controller.machine_age_s("vm-1").expect("the machine is unknown");
     assert!((0.9..1.2).contains(&age_s), "{age_s} s");
 }
+
+/// Guards against the deletion of machines that booted during an outage of the store: no controller
+/// could answer their workers, and their boot time-out was over when the outage ended.
+#[test]
+fn machines_that_boot_during_a_store_outage_are_kept() {
+    let timing = timing();
+    let mut driver = SingleController::leading_with_peer(&[]);
+    driver.listed_state = MachineState::Booting;
+    driver.listed_age_s = 1.0;
+    driver.listed_machines.push("vm-1".into());
+    assert!(driver.run_until(10.0, |driver| driver.controller.machine_age_s("vm-1").is_some()));
+    driver.store_down = true;
+    driver.run(OUTAGE_S);
+    driver.end_store_outage();
+    // A worker whose heartbeat gets no response tries another node after its timeout and a pause.
+    driver.run(timing.worker_failover_s);
+    let mut worker = ManualWorker::new("vm-1");
+    driver.exchange_heartbeat(&mut worker);
+    driver.run(1.0);
+    assert_eq!(driver.deleted_machines, Vec::<String>::new());
+    assert!(driver.controller.usable_machines().any(|machine| machine == "vm-1"));
+}
