A reply to a repeated rental does not bring back a removed machine

What callers saw: a job waits for a machine that does not exist, until its boot time-out.

Cause: the reply to a rental proves that its machines existed, not that they still do. If the reply is lost, the repeated request names the same machines; they may have been found by the list or their heartbeats, used and deleted meanwhile. Lists and heartbeats of removed machines were ignored, the reply was not.

Change: removed machines are not added by a reply to a rental.

Why it holds: names are never used again and another leader's rentals have other names, so a removed machine never has to return, however late the reply comes.

--- a/crates/controller/src/autoscaling/scale_out.rs
+++ b/crates/controller/src/autoscaling/scale_out.rs
@@ -326,7 +326,8 @@
 }
 
 /// Adds the machines that the cloud provided to the cluster. Their age counts from the attempt that was
-/// answered: earlier ones may not have been carried out. If one was, the cloud's list shows it.
+/// answered: earlier ones may not have been carried out. If one was, the cloud's list shows it. The
+/// reply to a repeated request may name machines that have been removed since.
 fn record_rented_machines(
     leader: &mut LeaderState,
     pending: &PendingScaleOut,
@@ -337,7 +338,7 @@
     info!(kind = %request.machine_type, zone = %request.zone, spot = request.spot,
           asked = request.count, got = machines.len(), attempts = pending.attempts,
           took_s = now - pending.requested_at, "scale-out completed");
-    for id in machines {
+    for id in machines.iter().filter(|id| !leader.fleet.has_tombstone(id)) {
         leader.cluster.machines.entry(id.clone()).or_insert_with(|| {
             let sent_at = pending.last_sent_at;
             let mut machine = Machine::new(id, &request.machine_type, &request.zone, request.spot, sent_at);
--- a/crates/simulation/tests/machine_list.rs
+++ b/crates/simulation/tests/machine_list.rs
@@ -8,6 +8,7 @@
 use anisecroft_simulation::state::Store;
 use anisecroft_simulation::{Fault, ScheduledFault, Setup, Simulation, Submission};
 use common::*;
+use protocol::cloud::MachineState;
 use protocol::job::JobSpec;
 use single_controller::{ManualWorker, ReorderedLists, SingleController};
 
@@ -107,3 +108,27 @@
     }
     assert!(reordered_lists > 0, "no list was older than the one before");
 }
+
+/// Guards against work that waits for a machine which no longer exists: the rental's reply was lost, the
+/// machine was used and deleted, and the repeated rental named it again after a cloud outage.
+#[test]
+fn repeated_rental_does_not_bring_back_a_deleted_machine() {
+    let mut driver = SingleController::leading(Store::default(), &[], 0.0);
+    driver.submit(&whole_machine_tasks(1));
+    driver.rental_replies_lost = true;
+    driver.rentable_machines = vec!["vm-1".into()];
+    assert!(driver.run_until(10.0, |driver| driver.rentable_machines.is_empty()));
+    driver.listed_machines = vec!["vm-1".into()];
+    let mut worker = ManualWorker::new("vm-1");
+    driver.run_until_launched(&mut worker, &["req-000001"]);
+    // The cloud reports the machine as failed, and the leader deletes it.
+    driver.listed_state = MachineState::Failed;
+    assert!(driver.run_until(10.0, |driver| !driver.deleted_machines.is_empty()));
+    driver.cloud_down = true;
+    driver.run(75.0);
+    driver.cloud_down = false;
+    driver.rental_replies_lost = false;
+    driver.run(5.0);
+    assert_eq!(driver.controller.machine_age_s("vm-1"), None);
+    assert_eq!(driver.controller.placement_count(), 0);
+}
