Stop and delete a machine that reports after a list proved it gone

Cause: heartbeats of a removed machine were ignored, since late ones of deleted machines had counted as signs of life before, but still answered with 200 and no commands. That renews the lease. Nothing returned it.

Evidence: in the test, the response to the first heartbeat after the removal has no commands.

Change: the leader remembers the proof of each removal. After a confirmed deletion heartbeats are ignored as before. After a list, a heartbeat newer than the newest known one makes the machine known as terminating: its tasks are stopped by the response, it gets no work and is deleted, which is the final proof.

Why it holds: after a deletion everything on the machine has ended, so nobody waits for the answer; otherwise the machine's own newer heartbeat decides, whatever the lists show and however old they are. A late copy is not newer; a late first arrival costs one deletion of a name that the cloud ignores.

--- a/crates/controller/src/agents/heartbeat_ingestion.rs
+++ b/crates/controller/src/agents/heartbeat_ingestion.rs
@@ -4,11 +4,11 @@
 use crate::agents::heartbeat_queue::ReplyRoute;
 use crate::agents::reconciliation::HeartbeatOrigin;
 use crate::leader::state::{LeaderState, Role};
-use crate::model::machine::Machine;
+use crate::model::machine::{Machine, MachinePhase};
 use crate::{Controller, RequestId, Time};
 use protocol::worker::{Heartbeat, HeartbeatResponse};
 use sharding::ProxyId;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Maximum number of workers whose last contact is remembered. When it is reached, workers that
 /// have been silent for `CONTACT_RETENTION_LEASES` are forgotten: no duplicate of a heartbeat is
@@ -133,7 +133,11 @@
         let suspicion_s = self.timing.failure_suspicion_s;
         let in_order = self.checks.heartbeat_order;
         let Role::Leader(leader) = &mut self.role else { return false };
-        if leader.is_removed_machine(&heartbeat.machine, now - received_at > suspicion_s) {
+        let is_old = now - received_at > suspicion_s;
+        if !is_old {
+            leader.readmit_for_deletion(heartbeat, received_at);
+        }
+        if leader.is_removed_machine(&heartbeat.machine, is_old) {
             return false;
         }
         // The worker's lease counts from the time it sent the heartbeat, which is earlier than
@@ -163,14 +167,28 @@
         self.fleet.has_tombstone(machine) || is_old && !self.cluster.machines.contains_key(machine)
     }
 
+    /// Adds a machine again that sends heartbeats although a list proved that it is gone, as one that is
+    /// terminating: its tasks may have been placed elsewhere. It gets no work, its tasks are stopped, and
+    /// it is deleted. Without this, its lease was renewed and its tasks went on.
+    fn readmit_for_deletion(&mut self, heartbeat: &Heartbeat, received_at: Time) {
+        let position = (heartbeat.epoch, heartbeat.sequence);
+        if !self.fleet.contradicts_removal(&heartbeat.machine, position) {
+            return;
+        }
+        warn!(machine = %heartbeat.machine, "heartbeat from a machine removed from the cloud's list, deleting it");
+        self.fleet.remove_tombstone(&heartbeat.machine);
+        let mut machine = unlisted_machine(heartbeat, received_at);
+        machine.phase = MachinePhase::Terminating;
+        self.cluster.machines.insert(heartbeat.machine.clone(), machine);
+    }
+
     /// Returns the machine that sent a heartbeat, and adds it if it was unknown.
     fn register_sender(&mut self, heartbeat: &Heartbeat, received_at: Time, now: Time) -> &mut Machine {
         let id = &heartbeat.machine;
-        let machine = self
-            .cluster
-            .machines
-            .entry(id.clone())
-            .or_insert_with(|| unlisted_machine(heartbeat, received_at));
+        let machine = self.cluster.machines.entry(id.clone()).or_insert_with(|| {
+            info!(machine = %heartbeat.machine, "heartbeat from a machine not in the list yet");
+            unlisted_machine(heartbeat, received_at)
+        });
         // A worker that has received a response from this leader exists. Two heartbeats alone
         // prove nothing: two delayed duplicates were taken for a live worker.
         machine.unconfirmed_since.take_if(|_| heartbeat.fencing_token == self.fencing_token);
@@ -189,7 +207,6 @@
 
 /// Creates the record of a machine that is not in the cloud's list yet.
 fn unlisted_machine(heartbeat: &Heartbeat, received_at: Time) -> Machine {
-    info!(machine = %heartbeat.machine, "heartbeat from a machine not in the list yet");
     let mut machine = Machine::new(
         &heartbeat.machine,
         &heartbeat.machine_type,
--- a/crates/controller/src/autoscaling/fleet.rs
+++ b/crates/controller/src/autoscaling/fleet.rs
@@ -4,9 +4,10 @@
 use crate::autoscaling::machine_list::MachineListing;
 use crate::autoscaling::scale_out::{ExhaustedPools, PendingScaleOut};
 use crate::leader::state::Role;
+use crate::model::machine::HeartbeatPosition;
 use crate::{CallContext, CloudReply, Controller, RateLimiter, Time};
 use sharding::ZoneReachability;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 
 /// Machines of one type and purchase option. Ordered by machine type, ordinary before spot machines.
@@ -82,17 +83,27 @@
     pub desired_with_burst: BTreeMap<MachinePool, u32>,
 }
 
-/// Deleted machines, in order of deletion. The cloud's list still shows them for a while, and their
+/// Observation from which the leader concluded that a machine no longer exists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RemovalProof {
+    /// The cloud confirmed its deletion. Every heartbeat that arrives afterwards was sent before.
+    Deleted,
+    /// A list that had to show it did not. A newer heartbeat than the newest one known at that time
+    /// contradicts this.
+    Unlisted(HeartbeatPosition),
+}
+
+/// Removed machines, in order of removal. The cloud's list still shows them for a while, and their
 /// delayed heartbeats may arrive at any time.
 #[derive(Debug, Default)]
 struct Tombstones {
-    machines: BTreeSet<String>,
+    machines: BTreeMap<String, RemovalProof>,
     insertion_order: VecDeque<String>,
 }
 
 impl Tombstones {
-    fn add(&mut self, machine: &str) {
-        if self.machines.insert(machine.to_string()) {
+    fn add(&mut self, machine: &str, proof: RemovalProof) {
+        if self.machines.insert(machine.to_string(), proof).is_none() {
             self.insertion_order.push_back(machine.to_string());
         }
         if self.insertion_order.len() > MAX_TOMBSTONES {
@@ -101,6 +112,12 @@
             }
         }
     }
+
+    fn remove(&mut self, machine: &str) {
+        if self.machines.remove(machine).is_some() {
+            self.insertion_order.retain(|id| id != machine);
+        }
+    }
 }
 
 /// The leader's state of the fleet, apart from the machines themselves.
@@ -149,14 +166,27 @@
         budget
     }
 
-    /// Records that `machine` was deleted. Machine names are never reused.
-    pub(super) fn add_tombstone(&mut self, machine: &str) {
-        self.tombstones.add(machine);
+    /// Records that `machine` no longer exists. Machine names are never reused.
+    pub(super) fn add_tombstone(&mut self, machine: &str, proof: RemovalProof) {
+        self.tombstones.add(machine, proof);
     }
 
-    /// Whether `machine` is known to be deleted.
+    /// Whether `machine` is considered removed.
     pub(crate) fn has_tombstone(&self, machine: &str) -> bool {
-        self.tombstones.machines.contains(machine)
+        self.tombstones.machines.contains_key(machine)
+    }
+
+    /// Whether a heartbeat at `position` shows that `machine` exists although it is considered removed.
+    pub(crate) fn contradicts_removal(&self, machine: &str, position: HeartbeatPosition) -> bool {
+        match self.tombstones.machines.get(machine) {
+            Some(RemovalProof::Unlisted(newest_known)) => position > *newest_known,
+            Some(RemovalProof::Deleted) | None => false,
+        }
+    }
+
+    /// Forgets that `machine` was considered removed.
+    pub(crate) fn remove_tombstone(&mut self, machine: &str) {
+        self.tombstones.remove(machine);
     }
 
     /// Whether machines of `pool` may be requested in `zone`: the zone is reachable, and the pool is
--- a/crates/controller/src/autoscaling/machine_list.rs
+++ b/crates/controller/src/autoscaling/machine_list.rs
@@ -1,6 +1,7 @@
 //! The cloud's machine list: reads it page by page and reconciles it with the machines that the
 //! leader knows.
 
+use crate::autoscaling::fleet::RemovalProof;
 use crate::leader::state::{LeaderState, Role};
 use crate::model::machine::{Machine, MachinePhase};
 use crate::{CallContext, CloudReply, CloudRequest, Controller, Time};
@@ -110,7 +111,7 @@
         for machine in missing {
             if let Role::Leader(leader) = &mut self.role {
                 log_removal(leader, &machine, now);
-                leader.fleet.add_tombstone(&machine);
+                add_unlisted_tombstone(leader, &machine);
             }
             self.remove_machine_work(&machine, true);
         }
@@ -191,6 +192,13 @@
     missing
 }
 
+/// Records that a list proves that a machine is gone.
+fn add_unlisted_tombstone(leader: &mut LeaderState, id: &str) {
+    let newest_position =
+        leader.cluster.machines.get(id).map(|machine| machine.newest_position).unwrap_or_default();
+    leader.fleet.add_tombstone(id, RemovalProof::Unlisted(newest_position));
+}
+
 /// Logs the removal of a machine that the list no longer shows, with the times that decide whether
 /// the list had to show it, relative to the request for the list.
 fn log_removal(leader: &LeaderState, id: &str, now: Time) {
--- a/crates/controller/src/autoscaling/scale_in.rs
+++ b/crates/controller/src/autoscaling/scale_in.rs
@@ -1,7 +1,7 @@
 //! Scale-in: marks faulty machines, machines whose boot timed out, and idle machines beyond the
 //! desired capacity as terminating, and then deletes them in the cloud.
 
-use crate::autoscaling::fleet::{CapacityTargets, MachinePool, ZonalMachineType, MIN_CHARGE_S};
+use crate::autoscaling::fleet::{CapacityTargets, MachinePool, RemovalProof, ZonalMachineType, MIN_CHARGE_S};
 use crate::leader::state::{LeaderState, Role};
 use crate::model::machine::{Machine, MachinePhase};
 use crate::{CallContext, CloudReply, CloudRequest, Controller, Time};
@@ -279,7 +279,7 @@
             return;
         }
         for machine in machines {
-            leader.fleet.add_tombstone(machine);
+            leader.fleet.add_tombstone(machine, RemovalProof::Deleted);
         }
         for machine in machines {
             self.remove_machine_work(machine, true);
--- a/crates/simulation/tests/machine_list.rs
+++ b/crates/simulation/tests/machine_list.rs
@@ -10,7 +10,7 @@
 use common::*;
 use protocol::cloud::MachineState;
 use protocol::job::JobSpec;
-use single_controller::{ManualWorker, ReorderedLists, SingleController};
+use single_controller::{stop_commands, ManualWorker, ReorderedLists, SingleController};
 
 /// Durations of outages of the cloud, shorter and longer than the age of a list and a boot.
 const OUTAGES_S: [f64; 4] = [5.0, 20.0, 75.0, 600.0];
@@ -132,3 +132,43 @@
     assert_eq!(driver.controller.machine_age_s("vm-1"), None);
     assert_eq!(driver.controller.placement_count(), 0);
 }
+
+/// Guards against a machine that was taken for gone and goes on reporting: its lease was renewed, its
+/// tasks ran on beside their replacements, and it was neither used nor returned.
+#[test]
+fn removed_machine_that_goes_on_reporting_is_stopped_and_deleted() {
+    let mut driver = SingleController::leading(Store::default(), &["vm-1"], 0.0);
+    driver.submit(&whole_machine_tasks(1));
+    let mut worker = ManualWorker::new("vm-1");
+    driver.run_until_launched(&mut worker, &["req-000001"]);
+    // The cloud's lists omit the machine for longer than the protocol allows.
+    driver.listed_machines.clear();
+    let is_known = |driver: &SingleController| driver.controller.machine_age_s("vm-1").is_some();
+    assert!(driver.run_until(30.0, |driver| !is_known(driver)));
+    let commands = driver.exchange_heartbeat(&mut worker);
+    assert_eq!(stop_commands(&commands, "req-000001").count(), 1, "{commands:?}");
+    driver.run(5.0);
+    assert_eq!(driver.deleted_machines, ["vm-1"]);
+    // Its deletion is a proof: later heartbeats are old ones.
+    let old = worker.next_heartbeat();
+    driver.send_heartbeat(&old);
+    driver.run(5.0);
+    assert_eq!(driver.deleted_machines, ["vm-1"]);
+    assert!(!is_known(&driver));
+}
+
+/// Guards against a deletion for each late copy of a heartbeat: a copy that is not newer than what the
+/// leader knew when the list proved the machine gone shows nothing.
+#[test]
+fn late_copy_of_a_removed_machines_heartbeat_is_ignored() {
+    let mut driver = SingleController::leading(Store::default(), &["vm-1"], 0.0);
+    let mut worker = ManualWorker::new("vm-1");
+    driver.exchange_heartbeat(&mut worker);
+    driver.listed_machines.clear();
+    let is_known = |driver: &SingleController| driver.controller.machine_age_s("vm-1").is_some();
+    assert!(driver.run_until(30.0, |driver| !is_known(driver)));
+    driver.send_heartbeat(&worker.heartbeat.clone());
+    driver.run(5.0);
+    assert!(!is_known(&driver));
+    assert_eq!(driver.deleted_machines, Vec::<String>::new());
+}
