New leaders judge listed machines of other leaders by the stated age again

Cause: Machine::exists_since of a machine that another leader rented was the arrival of this leader's first list or heartbeat, so a new leader took up to twice the lag longer to learn which machines are gone, and their tasks waited.

Change: for a machine whose rental this leader did not see answered, the age that a list states moves exists_since back. For its own machines the reply decides, as before.

Why it stays safe: the cloud counts the age from when it carried the rental out, whatever outage or delay came before; at the arrival of a list the machine is older than that.

--- a/crates/controller/src/autoscaling/machine_list.rs
+++ b/crates/controller/src/autoscaling/machine_list.rs
@@ -154,6 +154,11 @@
     // The machine may have sent heartbeats before it was listed, but it is older than these. Without
     // this, no machine would be old enough for scale-in during the first minute after a failover.
     machine.created_at = machine.created_at.min(now - listed.age_s);
+    // The cloud counts the age from when it carried the rental out. For machines of earlier leaders
+    // there is no other evidence; without it, a new leader learns late which of them are gone.
+    if !machine.rented_by_this_leader {
+        machine.exists_since = machine.exists_since.min(now - listed.age_s);
+    }
     if machine.machine_type.is_empty() {
         machine.machine_type.clone_from(&listed.machine_type);
         machine.zone.clone_from(&listed.zone);
--- a/crates/controller/src/autoscaling/scale_out.rs
+++ b/crates/controller/src/autoscaling/scale_out.rs
@@ -343,6 +343,7 @@
             let sent_at = pending.last_sent_at;
             let mut machine = Machine::new(id, &request.machine_type, &request.zone, request.spot, sent_at);
             machine.exists_since = now;
+            machine.rented_by_this_leader = true;
             machine
         });
     }
--- a/crates/controller/src/model/machine.rs
+++ b/crates/controller/src/model/machine.rs
@@ -45,9 +45,12 @@
     /// its first heartbeat, or earlier according to the age that the cloud's list states. The boot
     /// time-out, the minimum charge and plans count from it; it proves nothing (see `exists_since`).
     pub created_at: Time,
-    /// Arrival of the first message that proves that the machine exists: the reply to its rental, a
-    /// list that shows it, or a heartbeat.
+    /// Time by which the machine certainly existed: the arrival of the reply to its rental. For a machine
+    /// that another leader rented: the arrival of the first list or heartbeat, or earlier according to
+    /// the age that the cloud's list states.
     pub exists_since: Time,
+    /// Whether this leader received the reply to its rental.
+    pub rented_by_this_leader: bool,
     /// Position of the newest heartbeat, including replies to direct commands.
     pub newest_position: HeartbeatPosition,
     /// Position of the newest heartbeat that was not a reply to a direct command. Only such heartbeats
@@ -118,6 +121,7 @@
             phase: MachinePhase::Booting,
             created_at: now,
             exists_since: now,
+            rented_by_this_leader: false,
             newest_position: (0, 0),
             newest_heartbeat_position: (0, 0),
             highest_token_seen: 0,
