--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -1397,11 +1397,20 @@
     record: Arc<Record>,
 }
 
+/// Returns a free port below the range from which the system takes the local ports of outgoing
+/// connections, so that none of these can occupy it before its controller does.
 fn free_addr(taken: &mut Vec<TcpListener>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| quit(&format!("no port: {error}")));
-    let addr = listener.local_addr().unwrap();
-    taken.push(listener);
-    addr
+    let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |time| time.subsec_nanos());
+    let mut port = 12_000 + (std::process::id().wrapping_mul(7919) ^ (nanos >> 6)) % 18_000;
+    for _ in 0..2000 {
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            let addr = listener.local_addr().unwrap();
+            taken.push(listener);
+            return addr;
+        }
+        port = 12_000 + (port - 12_000 + 1) % 18_000;
+    }
+    quit("no free port")
 }
 
 /// The `run` command of the deploy file.
