--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -433,6 +433,57 @@
     Connection::open(addr, timeout_s)?.call(method, path, body, timeout_s)
 }
 
+// ---------------------------------------------------------------- a network path
+
+/// A path to a server that can be cut: packets are held while it is cut, and connections opened
+/// meanwhile hang; afterwards everything is delivered in order.
+pub struct Path {
+    pub cut: Arc<AtomicBool>,
+    pub addr: SocketAddr,
+}
+
+impl Path {
+    pub fn to(target: SocketAddr) -> Path {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| quit(&format!("no port: {error}")));
+        let addr = listener.local_addr().unwrap();
+        let cut = Arc::new(AtomicBool::new(false));
+        let shared = cut.clone();
+        thread::spawn(move || {
+            for client in listener.incoming() {
+                let Ok(client) = client else { continue };
+                let cut = shared.clone();
+                thread::spawn(move || {
+                    while cut.load(Ordering::Relaxed) {
+                        sleep(0.02);
+                    }
+                    let Ok(server) = TcpStream::connect_timeout(&target, Duration::from_secs(2)) else { return };
+                    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+                    let (Ok(from), Ok(to)) = (client.try_clone(), server.try_clone()) else { return };
+                    let back = cut.clone();
+                    thread::spawn(move || pump(server, client, &back));
+                    pump(from, to, &cut);
+                });
+            }
+        });
+        Path { cut, addr }
+    }
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+    let mut part = [0u8; 16384];
+    loop {
+        let count = from.read(&mut part).unwrap_or(0);
+        while cut.load(Ordering::Relaxed) {
+            sleep(0.01);
+        }
+        if count == 0 || to.write_all(&part[..count]).is_err() {
+            let _ = to.shutdown(std::net::Shutdown::Both);
+            let _ = from.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
+
 // ---------------------------------------------------------------- state service
 
 /// Token bucket with a burst of one second's worth.
@@ -490,6 +541,8 @@
     Refuse,
     /// Carried out, but the answer is lost.
     LoseAnswer,
+    /// Held on its way until the flag is lowered, then carried out; nobody waits for the answer.
+    HoldWhile(Arc<AtomicBool>),
 }
 
 type FateOf = Box<dyn Fn(usize, &Request) -> Fate + Send + Sync>;
@@ -581,6 +634,13 @@
     fn handle(&self, node: usize, request: Request) -> Option<Response> {
         let fate = self.fate.lock().unwrap().clone();
         let fate = fate.map_or(Fate::Serve, |fate| fate(node, &request));
+        if let Fate::HoldWhile(held) = &fate {
+            while held.load(Ordering::Relaxed) {
+                sleep(0.02);
+            }
+            let _ = self.serve(&request);
+            return None;
+        }
         if matches!(fate, Fate::Refuse) {
             return answer(503, map(vec![("error", s("trouble"))]));
         }
@@ -1454,15 +1514,28 @@
 
     /// Writes the settings files; `params` is the part from `[params]` on.
     pub fn write_settings(&self, stores: &[SocketAddr], cloud: SocketAddr, params: &str) {
-        for (node, store) in self.nodes.iter().zip(stores) {
+        self.write_settings_with_paths(stores, cloud, params, &|_, to| self.nodes[to].back);
+    }
+
+    /// The same, where `path` gives the address under which one controller reaches another.
+    pub fn write_settings_with_paths(
+        &self,
+        stores: &[SocketAddr],
+        cloud: SocketAddr,
+        params: &str,
+        path: &dyn Fn(usize, usize) -> SocketAddr,
+    ) {
+        for (number, (node, store)) in self.nodes.iter().zip(stores).enumerate() {
             let mut text = format!(
                 "label = \"{}\"\nlocation = \"{}\"\nfront = \"{}\"\nback = \"{}\"\n\n",
                 node.label, node.zone, node.front, node.back
             );
-            for peer in self.nodes.iter().filter(|peer| peer.label != node.label) {
+            for (other, peer) in self.nodes.iter().enumerate().filter(|(_, peer)| peer.label != node.label) {
                 text += &format!(
                     "[[seeds]]\nlabel = \"{}\"\nlocation = \"{}\"\npeer_addr = \"{}\"\n\n",
-                    peer.label, peer.zone, peer.back
+                    peer.label,
+                    peer.zone,
+                    path(number, other)
                 );
             }
             text += &format!("[external]\ncloud = \"{cloud}\"\nstate = \"{store}\"\n\n{params}");
