--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -925,6 +925,15 @@
     pub fn on(&self, task: &str) -> Vec<String> {
         self.state.lock().unwrap().on.get(task).cloned().unwrap_or_default()
     }
+    /// All tasks that are on a machine, with the machines.
+    pub fn all_on(&self) -> Vec<(String, Vec<String>)> {
+        let state = self.state.lock().unwrap();
+        state.on.iter().filter(|(_, on)| !on.is_empty()).map(|(task, on)| (task.clone(), on.clone())).collect()
+    }
+    /// Whether a task has completed.
+    pub fn has_completed(&self, task: &str) -> bool {
+        self.is_done(task)
+    }
     pub fn ran_twice(&self) -> u32 {
         self.state.lock().unwrap().ran_twice
     }
@@ -1022,6 +1031,10 @@
         worker
     }
 
+    pub fn yard(&self) -> &str {
+        &self.yard
+    }
+
     fn end(&self, cause: &str) {
         let mut state = self.state.lock().unwrap();
         state.gone = true;
