Review cases: steady pace of the swarm, and gangs in the stand-in of the workers

Cause: the swarm of case 6 was accepted in 22 to 25 s, which left few seconds of the 120 s.

Change: the users submit at a steady rate below the state service's; the workers carry out gangs as the protocol says.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -77,7 +77,7 @@
         boot_s: 45.0,
         yards: ZONES.iter().map(|zone| zone.to_string()).collect(),
     };
-    let times = WorkerTimes { report_s: 3.0, lease_s: 19.0, fetch_s: 0.8 };
+    let times = WorkerTimes { report_s: 3.0, lease_s: 19.0, fetch_s: 0.8, gang_wait_s: 50.0, gang_peer_s: 4.0 };
     let (cloud, cloud_addr) = Cloud::start(&world, vec![breed], 28, 2.0, 3.0, &platform.fronts(), times);
     for zone in ZONES {
         cloud.add_machines("chedi-node", zone, 2);
@@ -99,7 +99,7 @@
         users.push(thread::spawn(move || {
             let mut user = User::new(&record, &fronts, part);
             for id in ids.iter().skip(part).step_by(3) {
-                world.add_job(id, JobInfo { run_s: 6.0, service: false });
+                world.add_job(id, JobInfo { run_s: 6.0, service: false, gang: 0 });
                 let body = job(
                     id,
                     "address-geocode",
@@ -131,7 +131,7 @@
         )
     };
     for (id, awaited) in [("req-000900", AWAITED_BY_OTHER), ("req-000901", AWAITED)] {
-        world.add_job(id, JobInfo { run_s: 2.0, service: false });
+        world.add_job(id, JobInfo { run_s: 2.0, service: false, gang: 0 });
         if !user.submit(&last(id, awaited), false) {
             quit("the last job of a pipeline was not accepted");
         }
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -70,7 +70,7 @@
         boot_s: 30.0,
         yards: ZONES.iter().map(|zone| zone.to_string()).collect(),
     };
-    let times = WorkerTimes { report_s: 5.0, lease_s: 29.0, fetch_s: 1.0 };
+    let times = WorkerTimes { report_s: 5.0, lease_s: 29.0, fetch_s: 1.0, gang_wait_s: 45.0, gang_peer_s: 6.0 };
     let (cloud, cloud_addr) = Cloud::start(&world, vec![breed], 9, 6.0, 8.0, &platform.fronts(), times);
     for zone in ZONES {
         cloud.add_machines("epinette-large", zone, 3);
@@ -105,12 +105,12 @@
     };
     sleep(0.5);
     for id in &ids {
-        world.add_job(id, JobInfo { run_s: 40.0, service: false });
+        world.add_job(id, JobInfo { run_s: 40.0, service: false, gang: 0 });
         if !user.submit(&stage(id), true) {
             quit("a job was not accepted");
         }
     }
-    world.add_job(LAST, JobInfo { run_s: 2.0, service: false });
+    world.add_job(LAST, JobInfo { run_s: 2.0, service: false, gang: 0 });
     let last = job(
         LAST,
         "tile-publish",
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -70,7 +70,7 @@
         boot_s: 45.0,
         yards: ZONES.iter().map(|zone| zone.to_string()).collect(),
     };
-    let times = WorkerTimes { report_s: 3.0, lease_s: 19.0, fetch_s: 0.8 };
+    let times = WorkerTimes { report_s: 3.0, lease_s: 19.0, fetch_s: 0.8, gang_wait_s: 50.0, gang_peer_s: 4.0 };
     let (cloud, cloud_addr) = Cloud::start(&world, vec![breed], 6, 2.0, 3.0, &platform.fronts(), times);
     for zone in ZONES {
         cloud.add_machines("chedi-node", zone, 2);
@@ -83,18 +83,20 @@
     let fronts = platform.fronts();
     let next = Arc::new(AtomicUsize::new(0));
     let began = record.now();
-    let users: Vec<_> = (0..40)
+    let users: Vec<_> = (0..30)
         .map(|number| {
             let (fronts, record, world, next) = (fronts.clone(), record.clone(), world.clone(), next.clone());
             thread::spawn(move || {
-                let mut user = User::new(&record, &fronts, number % 2);
+                let mut user = User::new(&record, &fronts, number % 3);
                 loop {
                     let job_number = next.fetch_add(1, Ordering::Relaxed);
                     if job_number >= count {
                         return;
                     }
+                    // A little below the rate of changes that the state service takes.
+                    sleep(began + job_number as f64 / 57.0 - record.now());
                     let id = format!("req-{:06}", 1000 + job_number);
-                    world.add_job(&id, JobInfo { run_s: 600.0, service: false });
+                    world.add_job(&id, JobInfo { run_s: 600.0, service: false, gang: 0 });
                     let body = job(
                         &id,
                         "junction-probes",
@@ -112,7 +114,7 @@
     record.line(&format!("{count} jobs of the swarm accepted in {:.1} s", record.now() - began));
 
     let mut user = User::new(&record, &fronts, 0);
-    world.add_job(SMALL, JobInfo { run_s: 2.0, service: false });
+    world.add_job(SMALL, JobInfo { run_s: 2.0, service: false, gang: 0 });
     let small = job(SMALL, "feed-clean", "dispatch", vec![("cores", V::Num(1.0)), ("memGb", V::Num(4.8)), ("etaS", V::Num(2.0))]);
     if !user.submit(&small, false) {
         quit("the small job was not accepted");
--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -863,6 +863,18 @@
 pub struct JobInfo {
     pub run_s: f64,
     pub service: bool,
+    /// Number of tasks of a gang; 0 for arrays and services.
+    pub gang: usize,
+}
+
+/// One attempt of a gang.
+#[derive(Default)]
+struct Gang {
+    /// Tasks that have their image.
+    ready: Vec<String>,
+    started_at: Option<f64>,
+    /// When a task left before the gang was done.
+    broken_at: Option<f64>,
 }
 
 #[derive(Default)]
@@ -872,6 +884,7 @@
     on: HashMap<String, Vec<String>>,
     starts: HashMap<String, u32>,
     done: HashMap<String, bool>,
+    gangs: HashMap<(String, u64), Gang>,
     ran_twice: u32,
 }
 
@@ -915,10 +928,43 @@
         }
         if cause == "done" {
             state.done.insert(task.to_string(), true);
+            // The tasks of a gang complete together.
+            let job = job_of(task).unwrap_or_default();
+            let gang = state.jobs.get(&job).map_or(0, |info| info.gang);
+            for number in 0..gang {
+                state.done.insert(format!("{job}/{number}"), true);
+            }
         }
         drop(state);
         self.record.line(&format!("{machine}: {task} ends, {cause}"));
     }
+    /// A task of a gang has its image; the last one starts the gang.
+    fn gang_ready(&self, job: &str, attempt: u64, leg: &str, tasks: usize, now: f64) {
+        let mut state = self.state.lock().unwrap();
+        let gang = state.gangs.entry((job.to_string(), attempt)).or_default();
+        if !gang.ready.iter().any(|name| name == leg) {
+            gang.ready.push(leg.to_string());
+        }
+        if gang.ready.len() == tasks && gang.started_at.is_none() {
+            gang.started_at = Some(now);
+        }
+    }
+    /// A task of a gang is gone before the gang was done.
+    fn gang_leaves(&self, job: &str, attempt: u64, leg: &str, now: f64) {
+        let mut state = self.state.lock().unwrap();
+        let gang = state.gangs.entry((job.to_string(), attempt)).or_default();
+        if gang.started_at.is_some() {
+            gang.broken_at = gang.broken_at.or(Some(now));
+        } else {
+            gang.ready.retain(|name| name != leg);
+        }
+    }
+    /// Start of the gang and time at which it lost a task.
+    fn gang_times(&self, job: &str, attempt: u64) -> (Option<f64>, Option<f64>) {
+        let state = self.state.lock().unwrap();
+        let gang = state.gangs.get(&(job.to_string(), attempt));
+        (gang.and_then(|gang| gang.started_at), gang.and_then(|gang| gang.broken_at))
+    }
     pub fn starts(&self, task: &str) -> u32 {
         self.state.lock().unwrap().starts.get(task).copied().unwrap_or(0)
     }
@@ -970,6 +1016,8 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub fetch_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
 }
 
 pub struct Worker {
@@ -1031,6 +1079,17 @@
         worker
     }
 
+    /// Tasks that take resources of the machine.
+    pub fn active_legs(&self) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        state.tasks.iter().filter(|task| task.status != "ended").map(|task| task.leg.clone()).collect()
+    }
+    pub fn is_gone(&self) -> bool {
+        self.state.lock().unwrap().gone
+    }
+    pub fn breed_name(&self) -> &str {
+        &self.breed
+    }
     pub fn yard(&self) -> &str {
         &self.yard
     }
@@ -1039,9 +1098,19 @@
         let mut state = self.state.lock().unwrap();
         state.gone = true;
         for task in std::mem::take(&mut state.tasks) {
-            if task.status == "running" {
-                self.world.leaves(&task.leg, &self.id, cause);
-            }
+            self.drop_task(&task, cause);
+        }
+    }
+
+    /// A task that was on the machine is gone.
+    fn drop_task(&self, task: &Task, cause: &str) {
+        if task.status != "running" && task.status != "waiting" {
+            return;
+        }
+        self.world.leaves(&task.leg, &self.id, cause);
+        let job = job_of(&task.leg).unwrap_or_default();
+        if self.world.job(&job).is_some_and(|info| info.gang > 0) {
+            self.world.gang_leaves(&job, task.attempt, &task.leg, self.world.record.now());
         }
     }
 
@@ -1058,25 +1127,54 @@
             state.lease_from = now;
             state.changed = true;
             for task in std::mem::take(&mut state.tasks) {
-                if task.status == "running" {
-                    self.world.leaves(&task.leg, &self.id, "lease");
-                }
+                self.drop_task(&task, "lease");
             }
         }
         let mut changed = false;
         for task in &mut state.tasks {
-            if task.status == "fetching" && now >= task.image_at {
-                task.status = "running";
-                changed = true;
-                self.world.arrives(&task.leg, task.attempt, &self.id);
-                let info = job_of(&task.leg).and_then(|job| self.world.job(&job));
-                let run_s = info.map_or(1.0, |info| if info.service { 1e9 } else { info.run_s });
-                task.ends_at = if self.world.is_done(&task.leg) { now } else { now + run_s };
-            } else if task.status == "running" && now >= task.ends_at {
-                task.status = "ended";
-                task.cause = Some("done");
-                changed = true;
-                self.world.leaves(&task.leg, &self.id, "done");
+            let job = job_of(&task.leg).unwrap_or_default();
+            let info = self.world.job(&job);
+            let gang = info.as_ref().map_or(0, |info| info.gang);
+            let run_s = info.map_or(1.0, |info| if info.service { 1e9 } else { info.run_s });
+            let times = if gang > 0 { self.world.gang_times(&job, task.attempt) } else { (None, None) };
+            match task.status {
+                "fetching" if now >= task.image_at => {
+                    changed = true;
+                    self.world.arrives(&task.leg, task.attempt, &self.id);
+                    let done = self.world.is_done(&task.leg);
+                    if gang > 0 && !done {
+                        task.status = "waiting";
+                        task.ends_at = now + self.times.gang_wait_s;
+                        self.world.gang_ready(&job, task.attempt, &task.leg, gang, now);
+                    } else {
+                        task.status = "running";
+                        task.ends_at = if done { now } else { now + run_s };
+                    }
+                }
+                "waiting" if times.0.is_some() => {
+                    task.status = "running";
+                    task.ends_at = times.0.unwrap_or(now) + run_s;
+                    changed = true;
+                }
+                "waiting" if now >= task.ends_at => {
+                    self.drop_task(task, "alone");
+                    task.status = "ended";
+                    task.cause = Some("alone");
+                    changed = true;
+                }
+                "running" if times.1.is_some_and(|broken| now >= broken + self.times.gang_peer_s / 2.0 && broken < task.ends_at) => {
+                    self.drop_task(task, "peers");
+                    task.status = "ended";
+                    task.cause = Some("peers");
+                    changed = true;
+                }
+                "running" if now >= task.ends_at && times.1.is_none_or(|broken| broken >= task.ends_at) => {
+                    task.status = "ended";
+                    task.cause = Some("done");
+                    changed = true;
+                    self.world.leaves(&task.leg, &self.id, "done");
+                }
+                _ => {}
             }
         }
         state.changed |= changed;
@@ -1130,9 +1228,7 @@
                     state.changed = true;
                 }
                 ("stop", Some(at)) if state.tasks[at].status != "ended" => {
-                    if state.tasks[at].status == "running" {
-                        self.world.leaves(&leg, &self.id, "stopped");
-                    }
+                    self.drop_task(&state.tasks[at], "stopped");
                     state.tasks[at].status = "ended";
                     state.tasks[at].cause = Some("stopped");
                     state.changed = true;
