Review case 4: one record over the lowered limit stops every write of the leader

Cause: a job that was stored whole before all controllers were known to read chunks can't be written after the limits fell; its writes are never suspended, and the leader retries it alone for ever.

Change: the case as a script.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,24 +1,18 @@
-//! A job that awaits 95 others is accepted and never runs, while its machine fits and is idle.
-//! Disruption: the state service lowers its limits, as `state.next` in the settings announces it.
+//! One job whose record can't be made smaller stops every write of the leader: no other job runs any more.
+//! Disruption: one controller crashes at the first start and is back 8 s later. In both forms the state service then
+//! lowers its limits, as `state.next` in the settings announces it.
 
 #[path = "../lib-2/common.rs"]
 mod common;
 use common::*;
-use std::sync::Arc;
-use std::thread;
 
 const ZONES: [&str; 3] = ["bangkok-north", "chiang-mai", "khon-kaen"];
-/// Jobs that the last job of the pipeline awaits.
-const AWAITED: usize = 95;
-/// The same for a second pipeline, which shows that machines, team and limits allow such jobs.
-const AWAITED_BY_OTHER: usize = 60;
 /// Limit of the pages: no job is left waiting for 90 s while a machine that fits has room.
 const LIMIT_S: f64 = 90.0;
+const LARGE: &str = "req-000500";
 
-fn params(trouble: bool) -> String {
-    let next = "\n[params.state.next]\nwrite_rps = 42.0\nvalue_kb = 2.0\ntxn_ops = 16\n";
-    format!(
-        r#"[params]
+fn params() -> String {
+    r#"[params]
 size = 3
 zones = ["bangkok-north", "chiang-mai", "khon-kaen"]
 clock_error_ms = 5.0
@@ -28,12 +22,6 @@
 gpus = 800.0
 gpus_max = 2000.0
 
-[[params.objectives]]
-kind = "deadline"
-class = "manifest-print"
-share = 0.82
-times = 1.0
-
 [params.workers]
 report_s = 3.0
 lease_s = 19.0
@@ -55,9 +43,13 @@
 write_rps = 60.0
 value_kb = 32.0
 txn_ops = 48
-{}"#,
-        if trouble { next } else { "" }
-    )
+
+[params.state.next]
+write_rps = 42.0
+value_kb = 2.0
+txn_ops = 16
+"#
+    .to_string()
 }
 
 fn main() {
@@ -78,105 +70,112 @@
         yards: ZONES.iter().map(|zone| zone.to_string()).collect(),
     };
     let times = WorkerTimes { report_s: 3.0, lease_s: 19.0, fetch_s: 0.8, gang_wait_s: 50.0, gang_peer_s: 4.0 };
-    let (cloud, cloud_addr) = Cloud::start(&world, vec![breed], 28, 2.0, 3.0, &platform.fronts(), times);
+    let (cloud, cloud_addr) = Cloud::start(&world, vec![breed], 6, 2.0, 3.0, &platform.fronts(), times);
     for zone in ZONES {
         cloud.add_machines("chedi-node", zone, 2);
     }
-    platform.write_settings(&stores, cloud_addr, &params(trouble));
+    platform.write_settings(&stores, cloud_addr, &params());
     platform.start_all();
-    platform.wait_up(20.0);
+    let mut back_at = f64::MAX;
     if trouble {
-        store.lower_limits(42.0, 2.0, 16);
+        platform.kill(2);
+        back_at = record.now() + 8.0;
     }
-    sleep(2.0);
-
-    // The jobs that are awaited: one short task each, submitted at all controllers.
-    let ids: Arc<Vec<String>> = Arc::new((0..AWAITED).map(|number| format!("req-{:06}", 100 + number)).collect());
-    let fronts = platform.fronts();
-    let mut users = Vec::new();
-    for part in 0..3 {
-        let (ids, fronts, record, world) = (ids.clone(), fronts.clone(), record.clone(), world.clone());
-        users.push(thread::spawn(move || {
-            let mut user = User::new(&record, &fronts, part);
-            for id in ids.iter().skip(part).step_by(3) {
-                world.add_job(id, JobInfo { run_s: 6.0, service: false, gang: 0 });
-                let body = job(
-                    id,
-                    "address-geocode",
-                    "dispatch",
-                    vec![("urgency", s("idle")), ("cores", V::Num(2.0)), ("memGb", V::Num(9.6)), ("loaners", V::Bool(true)), ("etaS", V::Num(6.0))],
-                );
-                if !user.submit(&body, true) {
-                    quit("a job was not accepted");
-                }
-            }
-        }));
+    let until = record.now() + 20.0;
+    while !(platform.is_up(0) && platform.is_up(1)) {
+        if record.now() > until {
+            platform.stop();
+            quit("the controllers did not become healthy");
+        }
+        sleep(0.1);
     }
-    users.into_iter().for_each(|user| user.join().unwrap_or_else(|_| quit("a user failed")));
 
+    let fronts = platform.fronts();
     let mut user = User::new(&record, &fronts, 0);
-    let last = |id: &str, awaited: usize| {
-        job(
-            id,
-            "manifest-print",
-            "dispatch",
-            vec![
-                ("urgency", s("high")),
-                ("memGb", V::Num(4.8)),
-                ("loaners", V::Bool(true)),
-                ("etaS", V::Num(2.0)),
-                ("dueS", V::Num(90.0)),
-                ("awaits", V::List(ids[..awaited].iter().map(|id| s(id)).collect())),
-            ],
-        )
-    };
-    for (id, awaited) in [("req-000900", AWAITED_BY_OTHER), ("req-000901", AWAITED)] {
-        world.add_job(id, JobInfo { run_s: 2.0, service: false, gang: 0 });
-        if !user.submit(&last(id, awaited), false) {
-            quit("the last job of a pipeline was not accepted");
+    // Work that takes all machines for a while, so that the next job has to wait.
+    let fillers: Vec<String> = (0..6).map(|number| format!("req-{:06}", 100 + number)).collect();
+    for id in &fillers {
+        world.add_job(id, JobInfo { run_s: 10.0, service: false, gang: 0 });
+        let extra = vec![("urgency", s("high")), ("cores", V::Num(48.0)), ("etaS", V::Num(8.0))];
+        if !user.submit(&job(id, "feed-clean", "dispatch", extra), false) {
+            platform.stop();
+            quit("a job was not accepted");
+        }
+    }
+    while fillers.iter().any(|id| world.starts(&format!("{id}/0")) == 0) {
+        if record.now() > 7.5 {
+            platform.stop();
+            quit("too slow: the machines were not taken in time");
         }
+        sleep(0.1);
     }
-    // Both last jobs must have been accepted before an awaited one was done.
-    if world.done_count() > 0 {
-        quit("too slow: an awaited job was done before the pipelines were complete");
+    // A gang of one task that names many machine types.
+    let mut types: Vec<V> = (1..64).map(|number| s(&format!("chedi-node-gen{number:02}-highmem"))).collect();
+    types.push(s("chedi-node"));
+    world.add_job(LARGE, JobInfo { run_s: 10.0, service: false, gang: 1 });
+    let extra = vec![
+        ("shape", s("group")),
+        ("urgency", s("high")),
+        ("cores", V::Num(43.0)),
+        ("memGb", V::Num(230.0)),
+        ("breeds", V::List(types)),
+        ("etaS", V::Num(10.0)),
+    ];
+    if !user.submit(&job(LARGE, "urgent-rebook", "dispatch", extra), false) {
+        platform.stop();
+        quit("the large job was not accepted");
     }
-
-    // From here on the users only poll. The clock of the rule starts when all awaited jobs are done.
-    let mut free_since = f64::MAX;
+    if trouble {
+        if record.now() > back_at {
+            platform.stop();
+            quit("too slow: the large job was accepted after the controller was back");
+        }
+        sleep(back_at - record.now());
+        platform.start(2);
+    }
+    sleep(1.5);
+    store.lower_limits(42.0, 2.0, 16);
+    if fillers.iter().any(|id| world.has_completed(&format!("{id}/0"))) {
+        platform.stop();
+        quit("too slow: a machine was free before the limits were lowered");
+    }
+    while fillers.iter().any(|id| !world.has_completed(&format!("{id}/0"))) && record.now() < 25.0 {
+        sleep(0.1);
+    }
+    sleep(2.0);
+    // All troubles are over. Usual jobs come from now on.
+    let since = record.now();
+    let ids: Vec<String> = (0..20).map(|number| format!("req-{:06}", 600 + number)).collect();
+    for id in &ids {
+        world.add_job(id, JobInfo { run_s: 2.0, service: false, gang: 0 });
+        if !user.submit(&job(id, "feed-clean", "dispatch", vec![("etaS", V::Num(2.0))]), true) {
+            platform.stop();
+            quit("a usual job was not accepted");
+        }
+    }
+    let submitting_s = record.now() - since;
     let mut next_poll = 0.0;
     loop {
-        sleep(0.1);
+        sleep(0.2);
         let now = record.now();
-        let started = world.starts("req-000901/0") > 0;
-        if free_since == f64::MAX && ids.iter().all(|id| world.starts(&format!("{id}/0")) > 0 && world.on(&format!("{id}/0")).is_empty()) {
-            free_since = now;
-            record.line("all awaited tasks have run");
-        }
         if now >= next_poll {
             next_poll = now + 5.0;
-            user.poll("req-000900");
-            user.poll("req-000901");
+            user.poll(&ids[0]);
+            user.poll(LARGE);
         }
-        if started && world.on("req-000901/0").is_empty() {
-            sleep(4.0);
-            let (_, status) = user.poll("req-000901");
-            finish(&record, &mut platform, false, &format!("the last job ran, its status is {status}"));
+        let started = ids.iter().filter(|id| world.starts(&format!("{id}/0")) > 0).count();
+        if started == ids.len() && now > since + 20.0 {
+            finish(&record, &mut platform, false, &format!("all usual jobs started; starts of the large job: {}", world.starts(&format!("{LARGE}/0"))));
         }
-        if now > free_since + LIMIT_S + 1.0 {
-            let machines = cloud.workers().len();
-            let key = "j/req-000901";
-            record.line(&format!("stored under {key}: {}", store.peek(key).unwrap_or_default()));
-            let other = world.starts("req-000900/0");
-            finish(
-                &record,
-                &mut platform,
-                true,
-                &format!("req-000901 has not started {:.0} s after its awaited jobs ended; {machines} machines are idle; starts of the other last job: {other}", now - free_since),
+        if now > since + LIMIT_S + 1.0 + submitting_s {
+            let ended = platform.ended();
+            let text = format!(
+                "{} of {} usual jobs have not started after {:.0} s; controllers ended by themselves: {ended}",
+                ids.len() - started,
+                ids.len(),
+                now - since
             );
-        }
-        if now > 116.0 {
-            platform.stop();
-            quit("no result in time");
+            finish(&record, &mut platform, true, &text);
         }
     }
 }
