--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -98,13 +98,16 @@
         let (ids, fronts, record, world) = (ids.clone(), fronts.clone(), record.clone(), world.clone());
         users.push(thread::spawn(move || {
             let mut user = User::new(&record, &fronts, part);
-            for id in ids.iter().skip(part).step_by(3) {
-                world.add_job(id, JobInfo { run_s: 6.0, service: false, gang: 0 });
+            let began = record.now();
+            for (number, id) in ids.iter().skip(part).step_by(3).enumerate() {
+                // Together a little below the rate of changes that the state service takes.
+                sleep(began + number as f64 / 12.0 - record.now());
+                world.add_job(id, JobInfo { run_s: 9.0, service: false, gang: 0 });
                 let body = job(
                     id,
                     "address-geocode",
                     "dispatch",
-                    vec![("urgency", s("idle")), ("cores", V::Num(2.0)), ("memGb", V::Num(9.6)), ("loaners", V::Bool(true)), ("etaS", V::Num(6.0))],
+                    vec![("urgency", s("idle")), ("cores", V::Num(2.0)), ("memGb", V::Num(9.6)), ("loaners", V::Bool(true)), ("etaS", V::Num(9.0))],
                 );
                 if !user.submit(&body, true) {
                     quit("a job was not accepted");
