--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -109,6 +109,8 @@
         }
         sleep(0.1);
     }
+    // By now controllers that are up have heard from each other.
+    sleep(5.0 - record.now());
     // A gang of one task that names many machine types.
     let mut types: Vec<V> = (1..64).map(|number| s(&format!("chedi-node-gen{number:02}-highmem"))).collect();
     types.push(s("chedi-node"));
