Log refused transactions with their sizes, and withheld placements

Seen: "job dependencies finished", then 59 times "placement withheld ... task=0 added=21 bytes=0 bytes_left=13".

--- a/crates/controller/src/scheduling/apply_plan.rs
+++ b/crates/controller/src/scheduling/apply_plan.rs
@@ -83,7 +83,16 @@
             .entry(StoredPage { job: start.job, page })
             .or_insert_with(|| job.placement_bytes(page));
         let added = StoredPlacement::size(start.task, attempt, machine);
-        if *bytes + added > job.placement_bytes_left(page) && job.spec.shape != Shape::Gang {
+        let bytes_left = job.placement_bytes_left(page);
+        if *bytes + added > bytes_left && job.spec.shape != Shape::Gang {
+            debug!(
+                job = %job.spec.id,
+                task = start.task,
+                added,
+                bytes = *bytes,
+                bytes_left,
+                "placement withheld: no room in its stored page"
+            );
             return false;
         }
         *bytes += added;
--- a/crates/controller/src/storage/write_queue/outcome.rs
+++ b/crates/controller/src/storage/write_queue/outcome.rs
@@ -1,9 +1,9 @@
 //! Handling of the outcome of a transaction.
 
-use super::TransactionEntry;
+use super::{InFlightTransaction, TransactionEntry};
 use crate::leader::state::LeaderState;
 use crate::model::job::Job;
-use crate::model::records::{job_key, page_key, Value};
+use crate::model::records::{job_key, json_size, page_key, Value};
 use crate::storage::fencing::{is_fenced, LEADERSHIP_LOST};
 use crate::{Controller, StoreReply};
 use protocol::job::JobStatus;
@@ -35,7 +35,10 @@
                 self.delay_writes(token);
                 self.on_rate_limited();
             }
-            StoreReply::Invalid => self.on_transaction_invalid(token, &txn.entries),
+            StoreReply::Invalid => {
+                log_refused_transaction(&txn);
+                self.on_transaction_invalid(token, &txn.entries);
+            }
             _ => {
                 // The transaction may have been applied, or may still be. The stored versions show
                 // whether it was; if other writes are committed first, the delayed transaction fails its
@@ -124,6 +127,13 @@
     }
 }
 
+/// Logs the jobs of a transaction that the store rejected as invalid, and the sizes of its values.
+fn log_refused_transaction(txn: &InFlightTransaction) {
+    let jobs: Vec<&str> = txn.entries.iter().map(|entry| entry.job_id.as_str()).collect();
+    let value_bytes: Vec<usize> = txn.written_values.iter().map(|(_, value)| json_size(value)).collect();
+    debug!(serial = txn.serial, ?jobs, ?value_bytes, "state service refused a transaction as invalid");
+}
+
 impl LeaderState {
     fn on_job_stored(&mut self, entry: &TransactionEntry, revision: u64) {
         let Some(job) = self.cluster.jobs.get_mut(&entry.job_id) else { return };
