A write that is refused every time holds up no other job

Cause: a job that was refused alone was not suspended while its record "may exceed the announced limits", and was written again at once; for a record that can't be made smaller that is for ever. Conflicts were repeated without a bound as well.

Change: a job refused alone is suspended unless its next write is smaller; jobs refused together are written alone until they are stored, instead of isolating all jobs; the fifth conflict in a row suspends too; placements that were never stored are released meanwhile; a missing page is written anew.

--- a/crates/controller/src/model/job/persistence.rs
+++ b/crates/controller/src/model/job/persistence.rs
@@ -39,8 +39,13 @@
     urgent_write: bool,
     /// Time since which there have been unsaved changes.
     pub dirty_since: Option<Time>,
-    /// Earliest time of the next write, after the store rejected the record as invalid.
+    /// Earliest time of the next write, after the store refused a write of this job alone.
     pub write_suspended_until: Time,
+    /// Whether the job is written in a transaction of its own, because the store refused a transaction
+    /// that included it.
+    pub write_alone: bool,
+    /// Number of refused writes since the last one that was applied.
+    refusals: u32,
 }
 
 impl PersistenceState {
@@ -59,6 +64,13 @@
         self.urgent_write
     }
 
+    /// Records that the store refused a write of this job. Returns the number of such refusals since its
+    /// record was last stored.
+    pub fn record_refusal(&mut self) -> u32 {
+        self.refusals = self.refusals.saturating_add(1);
+        self.refusals
+    }
+
     /// Requests that the next write is not delayed.
     pub fn request_urgent_write(&mut self) {
         self.urgent_write = true;
@@ -155,6 +167,8 @@
         completion_pending: bool,
     ) {
         self.pages_with_new_placements = uncommitted_pages;
+        self.write_alone = false;
+        self.refusals = 0;
         if write.covers_all {
             self.stored_mutation = self.stored_mutation.max(write.mutation_count);
         }
--- a/crates/controller/src/model/job/record.rs
+++ b/crates/controller/src/model/job/record.rs
@@ -1,15 +1,19 @@
 //! A job's main record: writes it and reconciles the job with the stored data.
 
 use super::{Job, JobWrite};
+use crate::messages::Time;
 use crate::model::records::{
     mark_key, spec_stub, JobRecord, PageRecord, StoredPlacement, MAX_MACHINES_WITH_IMAGE,
 };
 use protocol::job::JobStatus;
 use protocol::state::Compare;
 use std::collections::BTreeSet;
+use tracing::warn;
 
 /// JSON overhead of a machine name in a list, in bytes.
 const LIST_ITEM_OVERHEAD_BYTES: usize = 4;
+/// Longest suspension of a job's writes, as a multiple of the one after its first refusal.
+const MAX_SUSPENSION_UNITS: u32 = 2;
 
 /// Mark that a cancellation stores beside a job's record if the record is too large to be rewritten.
 #[derive(Debug, Clone, Default)]
@@ -100,6 +104,27 @@
         names
     }
 
+    /// Suspends the writes of the job after the store refused one: for `unit_s` after the first refusal
+    /// and longer after further ones. Placements that were not stored are released, so that other jobs
+    /// can use the machines meanwhile.
+    pub fn suspend_writes(&mut self, now: Time, unit_s: Time) {
+        let refusals = self.persistence.record_refusal();
+        let suspended_until = now + unit_s * f64::from(refusals.min(MAX_SUSPENSION_UNITS));
+        warn!(job = %self.spec.id, refusals, "state service refused the record of a job, its writes are suspended");
+        self.persistence.write_suspended_until = suspended_until;
+        self.not_before = self.not_before.max(suspended_until);
+        self.release_uncommitted();
+    }
+
+    /// Releases placements that are not stored, and so were never launched.
+    fn release_uncommitted(&mut self) {
+        let uncommitted = self.placements.iter().filter(|(_, placement)| !placement.committed);
+        let tasks: Vec<u32> = uncommitted.map(|(&task, _)| task).collect();
+        for task in tasks {
+            self.release_placement(task);
+        }
+    }
+
     /// Records that `write` was applied at `revision`.
     pub fn on_stored(&mut self, write: &JobWrite, revision: u64) {
         self.page_layout.record_stored(&write.pages, revision);
--- a/crates/controller/src/model/page_layout.rs
+++ b/crates/controller/src/model/page_layout.rs
@@ -132,6 +132,11 @@
         std::mem::replace(&mut self.is_changing, false)
     }
 
+    /// Records that a page is not stored.
+    pub fn on_page_missing(&mut self, page: usize) {
+        self.versions.remove(&page);
+    }
+
     /// Returns the stored version of a page; 0 if the page is not stored.
     pub fn version(&self, page: usize) -> u64 {
         self.versions.get(&page).copied().unwrap_or(0)
--- a/crates/controller/src/storage/write_queue.rs
+++ b/crates/controller/src/storage/write_queue.rs
@@ -36,9 +36,6 @@
     scan_at: Time,
     /// Whether to scan for jobs to be written without waiting for `scan_at`.
     pub write_now: bool,
-    /// Whether jobs are written one by one, to find out which one made the store refuse a
-    /// transaction as invalid.
-    isolate_jobs: bool,
 }
 
 impl WriteQueue {
@@ -52,7 +49,6 @@
             retry_at: now,
             scan_at: now,
             write_now: false,
-            isolate_jobs: false,
         }
     }
 
@@ -201,7 +197,6 @@
             current_value_bytes: self.store_limits.current_value_bytes(),
             may_repaginate: self.uses_current_format(),
             may_archive: leader.is_some_and(|leader| leader.archive.is_enabled()),
-            isolate_jobs: leader.is_some_and(|leader| leader.write_queue.isolate_jobs),
         }
     }
 }
--- a/crates/controller/src/storage/write_queue/outcome.rs
+++ b/crates/controller/src/storage/write_queue/outcome.rs
@@ -3,7 +3,7 @@
 use super::{InFlightTransaction, TransactionEntry};
 use crate::leader::state::LeaderState;
 use crate::model::job::Job;
-use crate::model::records::{job_key, json_size, page_key, Value};
+use crate::model::records::{job_key, json_size, mark_key, page_key, Value};
 use crate::storage::fencing::{is_fenced, LEADERSHIP_LOST};
 use crate::{Controller, StoreReply};
 use protocol::job::JobStatus;
@@ -12,6 +12,8 @@
 
 /// Number of retries of a failed write per lease renewal interval.
 const RETRIES_PER_RENEWAL_INTERVAL: f64 = 4.0;
+/// Number of conflicts in a row after which the writes of a job are suspended.
+const MAX_CONFLICTS_IN_A_ROW: u32 = 4;
 
 impl Controller {
     /// Handles the reply to the transaction with this serial number.
@@ -28,6 +30,7 @@
                     return self.step_down(LEADERSHIP_LOST);
                 }
                 debug!(failed = ?conflict.failed, "write conflict: records changed");
+                self.count_conflicts(token, &txn.entries, &conflict.failed);
                 self.read_back_keys(token, conflict.failed);
             }
             StoreReply::Refused | StoreReply::Gone => self.delay_writes(token),
@@ -85,7 +88,6 @@
             self.on_job_archived(&entry.job_id, revision);
         }
         let Some(leader) = self.leader_state(token) else { return };
-        leader.write_queue.isolate_jobs = false;
         for entry in &entries {
             leader.on_job_stored(entry, revision);
         }
@@ -100,29 +102,44 @@
         }
     }
 
-    /// Handles a transaction that the store rejected as invalid. The jobs are then written one by
-    /// one to find the rejected record. If a record may exceed the announced limits, these are taken
-    /// to be in force now. Otherwise, once a transaction with a single job is rejected, only the
-    /// writes of that job are suspended.
+    /// Handles a transaction that the store rejected as invalid. Its jobs are then written one by one
+    /// to find the rejected record. If a record may exceed the announced limits, these are taken to
+    /// be in force from now on. A job that was rejected alone is suspended unless its next write
+    /// will be smaller: an unchanged write would be rejected again and hold up those of other jobs.
     fn on_transaction_invalid(&mut self, token: u64, entries: &[TransactionEntry]) {
-        let suspended_until = self.now + self.settings.params.workers.lease_s;
-        let current_max_value_bytes = self.store_limits.current_value_bytes();
         let Some(leader) = self.leader_state(token) else { return };
         let may_exceed_announced_limits =
             entries.iter().any(|entry| leader.may_exceed_announced_limits(&entry.job_id));
         if may_exceed_announced_limits {
             self.on_size_refused();
         }
+        let may_change_layout = self.uses_current_format();
+        let (now, lease_s) = (self.now, self.settings.params.workers.lease_s);
         let Some(leader) = self.leader_state(token) else { return };
-        leader.write_queue.isolate_jobs = true;
         leader.write_queue.write_now = true;
-        if may_exceed_announced_limits {
-            return;
+        for entry in entries {
+            let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) else { continue };
+            let next_is_smaller =
+                may_change_layout && !job.page_layout.is_changing() && job.needs_repagination();
+            if entries.len() == 1 && !next_is_smaller {
+                job.suspend_writes(now, lease_s);
+            }
+            job.persistence.write_alone = true;
         }
-        let [entry] = entries else { return };
-        warn!(job = %entry.job_id, present = current_max_value_bytes, "state service refused the record of a job as invalid, its writes are suspended");
-        if let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) {
-            job.persistence.write_suspended_until = suspended_until;
+    }
+
+    /// Counts a conflict against the jobs whose records had changed. A job whose writes keep failing,
+    /// although its records are read back after each of them, is suspended.
+    fn count_conflicts(&mut self, token: u64, entries: &[TransactionEntry], failed: &[String]) {
+        let (now, lease_s) = (self.now, self.settings.params.workers.lease_s);
+        let Some(leader) = self.leader_state(token) else { return };
+        for entry in entries {
+            let keys = leader.written_keys(std::slice::from_ref(entry));
+            let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) else { continue };
+            let is_affected = keys.iter().chain([&mark_key(&entry.job_id)]).any(|key| failed.contains(key));
+            if is_affected && job.persistence.record_refusal() > MAX_CONFLICTS_IN_A_ROW {
+                job.suspend_writes(now, lease_s);
+            }
         }
     }
 }
--- a/crates/controller/src/storage/write_queue/read_back.rs
+++ b/crates/controller/src/storage/write_queue/read_back.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Handles a missing key: a page that was never written, whose version remains 0; a cancellation
+    /// Handles a missing key: a page that is not stored, whose version is 0; a cancellation
     /// mark that was removed; or the record of a job that has ended and was archived. In the last
     /// case it is not known by whom and with which status: a leader that was cut off must not assume
     /// that its own move succeeded, or it could report a cancelled job as done.
@@ -88,6 +88,12 @@
             if let Some(job) = leader.cluster.jobs.get_mut(id) {
                 job.cancellation_mark.version = None;
             }
+        } else if let Some((id, page, layout)) = parse_page_key(key) {
+            if let Some(job) = leader.cluster.jobs.get_mut(id) {
+                if job.page_layout.number == layout {
+                    job.page_layout.on_page_missing(page);
+                }
+            }
         }
     }
 }
--- a/crates/controller/src/storage/write_queue/transaction.rs
+++ b/crates/controller/src/storage/write_queue/transaction.rs
@@ -40,8 +40,6 @@
     pub may_repaginate: bool,
     /// Whether jobs may be archived, which requires that every node reads archived jobs.
     pub may_archive: bool,
-    /// Whether a transaction may contain only one job.
-    pub isolate_jobs: bool,
 }
 
 impl WriteConditions {
@@ -86,12 +84,22 @@
 
     /// Adds the due writes of `job` that fit. Returns `Break` if there is no room for further jobs.
     pub fn add(&mut self, due: &DueJob, job: &mut Job) -> ControlFlow<()> {
+        if job.persistence.write_alone && !self.entries.is_empty() {
+            return ControlFlow::Continue(());
+        }
+        self.add_with_others(due, job)?;
+        if job.persistence.write_alone && !self.entries.is_empty() {
+            return ControlFlow::Break(());
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn add_with_others(&mut self, due: &DueJob, job: &mut Job) -> ControlFlow<()> {
         let conditions = self.conditions;
         let available = self.budget.available_at(conditions.now);
         let has_reserve = available >= conditions.urgent_reserve();
         let room = conditions.max_mutations - self.transaction.mutations.len();
-        let is_isolated = conditions.isolate_jobs && !self.entries.is_empty();
-        if room == 0 || due.is_lazy && !has_reserve || is_isolated {
+        if room == 0 || due.is_lazy && !has_reserve {
             return ControlFlow::Break(());
         }
         self.fit_pages(job);
--- a/crates/simulation/src/sim/inspection.rs
+++ b/crates/simulation/src/sim/inspection.rs
@@ -75,6 +75,11 @@
         &self.store
     }
 
+    /// Returns the key-value store, to change its behaviour.
+    pub fn store_mut(&mut self) -> &mut Store {
+        &mut self.store
+    }
+
     /// Calls `inspect` with the key and value of every write from now on.
     pub fn inspect_writes(&mut self, inspect: fn(&str, &controller::records::Value)) {
         self.store.inspect = Some(inspect);
--- a/crates/simulation/src/state.rs
+++ b/crates/simulation/src/state.rs
@@ -58,6 +58,15 @@
     event: Event<Value>,
 }
 
+/// Refusal of all writes of some keys.
+#[derive(Debug, Clone)]
+pub struct RefusedWrites {
+    /// Prefix of the keys whose writes are refused.
+    pub key_prefix: String,
+    /// Whether the writes are rejected as invalid. Otherwise a conflict is reported for the key.
+    pub is_invalid: bool,
+}
+
 /// Token bucket for mutations.
 #[derive(Default)]
 struct WriteBudget {
@@ -82,6 +91,8 @@
     log: Vec<LogEntry>,
     limits: Limits,
     budget: WriteBudget,
+    /// Writes that are refused although they break no limit.
+    refused_writes: Vec<RefusedWrites>,
     /// Time at which the mutations of each revision were made.
     written_at: BTreeMap<u64, f64>,
 }
@@ -133,6 +144,23 @@
         history
     }
 
+    /// Refuses all writes of the given keys from now on.
+    pub fn refuse_writes(&mut self, refused: RefusedWrites) {
+        self.refused_writes.push(refused);
+    }
+
+    /// Returns the refusal of a transaction that puts a key whose writes are refused.
+    fn refusal_of(&self, transaction: &Transaction<Value>) -> Option<StoreReply> {
+        let refused =
+            |key: &String| self.refused_writes.iter().find(|refused| key.starts_with(&refused.key_prefix));
+        transaction.mutations.iter().find_map(|mutation| {
+            let Mutation::Put { key, .. } = mutation else { return None };
+            let refusal = refused(key)?;
+            let conflict = CasConflict { failed: vec![key.clone()], revision: self.revision };
+            Some(if refusal.is_invalid { StoreReply::Invalid } else { StoreReply::Conflict(conflict) })
+        })
+    }
+
     /// Sets the limits. Values already stored are kept even if they exceed them.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
@@ -241,6 +269,9 @@
             self.rejected_for_size += 1;
             return StoreReply::Invalid;
         }
+        if let Some(refusal) = self.refusal_of(transaction) {
+            return refusal;
+        }
         let count = transaction.mutations.len() as f64;
         let rate = self.limits.write_rps;
         let refilled = self.budget.available + (now - self.budget.updated_at) * rate;
@@ -266,7 +297,7 @@
         transaction.mutations.len() <= limits.txn_ops
             && transaction.compares.len() <= limits.txn_ops.saturating_mul(COMPARES_PER_MUTATION)
             && transaction.mutations.iter().all(value_fits)
-            && protocol::encode(transaction).len() <= MAX_TRANSACTION_BYTES
+            && transaction_bytes(transaction) <= MAX_TRANSACTION_BYTES
     }
 
     fn commit(&mut self, transaction: &Transaction<Value>) -> StoreReply {
@@ -317,6 +348,15 @@
     }
 }
 
+/// Returns the JSON size of a transaction's values, with their keys.
+fn transaction_bytes(transaction: &Transaction<Value>) -> usize {
+    let mutation_bytes = |mutation: &Mutation<Value>| match mutation {
+        Mutation::Put { key, value, .. } => key.len() + json_size(value),
+        Mutation::Delete { key } => key.len(),
+    };
+    transaction.mutations.iter().map(mutation_bytes).sum()
+}
+
 fn listed(key: &str, item: &StoredItem) -> Item<Value> {
     Item { key: key.to_string(), value: item.value.clone(), version: item.version }
 }
