Sizes of stored values allow for escaped characters

Sizes were counted in UTF-8, and those of names in lists without the escapes of quotes and backslashes, so a value could exceed its limit by up to twice.

Change: json_size counts escape sequences; the sizes of placements, machine names and chunks go through the same function per character.

Result: sizes_allow_for_escaped_characters failed before; with the old chunks chunks_of_unusual_names_fit_a_value fails. Both pass now.

--- a/crates/controller/src/model/job/record.rs
+++ b/crates/controller/src/model/job/record.rs
@@ -3,7 +3,7 @@
 use super::{Job, JobWrite};
 use crate::messages::Time;
 use crate::model::records::{
-    mark_key, spec_stub, JobRecord, PageRecord, StoredPlacement, MAX_MACHINES_WITH_IMAGE,
+    json_text_bytes, mark_key, spec_stub, JobRecord, PageRecord, StoredPlacement, MAX_MACHINES_WITH_IMAGE,
 };
 use protocol::job::JobStatus;
 use protocol::state::Compare;
@@ -94,7 +94,7 @@
         let mut bytes_left = self.page_layout.next_value_bytes().saturating_sub(self.page_bytes(0));
         let mut names = Vec::new();
         for name in self.machines_with_image.iter().take(MAX_MACHINES_WITH_IMAGE) {
-            let size = name.len() + LIST_ITEM_OVERHEAD_BYTES;
+            let size = json_text_bytes(name) + LIST_ITEM_OVERHEAD_BYTES;
             if size > bytes_left {
                 break;
             }
--- a/crates/controller/src/model/records.rs
+++ b/crates/controller/src/model/records.rs
@@ -10,6 +10,7 @@
 
 pub use completion_bits::{merge_bits, pack_bits};
 pub use json_size::json_size;
+pub(crate) use json_size::json_text_bytes;
 pub use keys::*;
 pub(crate) use page_size::{halved_page, MIN_TASKS_PER_PAGE};
 pub use page_size::{tasks_per_page, RECORD_OVERHEAD_BYTES};
--- a/crates/controller/src/model/records/json_size.rs
+++ b/crates/controller/src/model/records/json_size.rs
@@ -7,9 +7,11 @@
 /// Size of a value that cannot be serialized as JSON, and so is never stored. It exceeds every limit,
 /// and is small enough that sums do not overflow.
 const UNSERIALIZABLE_SIZE: usize = usize::MAX / 4;
+/// Bytes of the JSON escape sequence of a UTF-16 code unit.
+const ESCAPE_SEQUENCE_BYTES: usize = 6;
 
-/// Returns the number of bytes of `value` in JSON, with a space after every comma and colon, as some
-/// versions of the store write it.
+/// Returns the maximum number of bytes of `value` in JSON: some versions of the store write a space
+/// after every comma and colon, and characters beyond ASCII as escape sequences.
 pub fn json_size<T: Serialize>(value: &T) -> usize {
     let mut serializer = serde_json::Serializer::with_formatter(ByteCounter(0), SpacedFormatter);
     match value.serialize(&mut serializer) {
@@ -18,7 +20,22 @@
     }
 }
 
-/// JSON formatter that adds a space after every comma and colon.
+/// Returns the maximum number of bytes of `text` in a JSON string, without the quotes.
+pub(crate) fn json_text_bytes(text: &str) -> usize {
+    text.chars().map(json_char_bytes).sum()
+}
+
+/// Returns the maximum number of bytes of a character in a JSON string.
+pub(super) fn json_char_bytes(character: char) -> usize {
+    match character {
+        '"' | '\\' => 2,
+        ' '..='~' => 1,
+        _ => ESCAPE_SEQUENCE_BYTES * character.len_utf16(),
+    }
+}
+
+/// JSON formatter that adds a space after every comma and colon, and counts characters beyond ASCII as
+/// escape sequences.
 struct SpacedFormatter;
 
 impl SpacedFormatter {
@@ -40,6 +57,21 @@
         writer.write_all(Self::separator(first))
     }
 
+    fn write_string_fragment<W: ?Sized + Write>(&mut self, writer: &mut W, fragment: &str) -> io::Result<()> {
+        if fragment.is_ascii() {
+            return writer.write_all(fragment.as_bytes());
+        }
+        let escape_sequence = [b'?'; ESCAPE_SEQUENCE_BYTES];
+        for character in fragment.chars() {
+            if character.is_ascii() {
+                writer.write_all(&escape_sequence[..1])?;
+            } else {
+                (0..character.len_utf16()).try_for_each(|_| writer.write_all(&escape_sequence))?;
+            }
+        }
+        Ok(())
+    }
+
     fn begin_object_value<W: ?Sized + Write>(&mut self, writer: &mut W) -> io::Result<()> {
         writer.write_all(b": ")
     }
--- a/crates/controller/src/model/records/specification.rs
+++ b/crates/controller/src/model/records/specification.rs
@@ -1,6 +1,7 @@
 //! Chunked storage of large texts: job specifications and machine type catalogues that do not fit one
 //! value.
 
+use super::json_size::json_char_bytes;
 use super::keys::{catalogue_key, SPEC_CHUNK_PREFIX};
 use super::page_size::tasks_per_page;
 use super::{json_size, JobRecord, Value};
@@ -21,10 +22,18 @@
     // An escaped quote takes two bytes, so a chunk's text may double in size when it is stored.
     let max_chunk_bytes = (max_value_bytes.saturating_sub(CHUNK_OVERHEAD_BYTES) / 2).max(MIN_CHUNK_BYTES);
     let mut chunks: Vec<String> = vec![String::new()];
+    let mut chunk_bytes = 0;
     for character in text.chars() {
+        let bytes = json_char_bytes(character).div_ceil(2).max(character.len_utf8());
         match chunks.last_mut() {
-            Some(chunk) if chunk.len() + character.len_utf8() <= max_chunk_bytes => chunk.push(character),
-            _ => chunks.push(character.into()),
+            Some(chunk) if chunk_bytes + bytes <= max_chunk_bytes => {
+                chunk.push(character);
+                chunk_bytes += bytes;
+            }
+            _ => {
+                chunks.push(character.into());
+                chunk_bytes = bytes;
+            }
         }
     }
     chunks
--- a/crates/controller/src/model/records/values.rs
+++ b/crates/controller/src/model/records/values.rs
@@ -1,9 +1,9 @@
 //! Stored values. The field names in the store never change; where they differ from those in the code,
 //! serde attributes name them.
 
-use super::json_size;
 use super::page_size::tasks_per_page;
 use super::specification::SpecChunks;
+use super::{json_size, json_text_bytes};
 use protocol::cloud::MachineType;
 use protocol::job::{JobSpec, JobStatus};
 use serde::ser::SerializeTuple;
@@ -108,7 +108,10 @@
 impl StoredPlacement {
     /// Returns an upper bound of its JSON bytes: both numbers, the name, and the punctuation.
     pub fn size(task: u32, attempt: u64, machine: &str) -> usize {
-        decimal_digits(u64::from(task)) + decimal_digits(attempt) + machine.len() + PLACEMENT_OVERHEAD_BYTES
+        decimal_digits(u64::from(task))
+            + decimal_digits(attempt)
+            + json_text_bytes(machine)
+            + PLACEMENT_OVERHEAD_BYTES
     }
 }
 
--- a/crates/controller/tests/records.rs
+++ b/crates/controller/tests/records.rs
@@ -1,6 +1,7 @@
 //! Stored records: forms of earlier versions are decoded, and estimated sizes are upper bounds.
 
 use anisecroft_controller::records::*;
+use protocol::job::{JobSpec, Priority, Shape};
 use serde::Serialize;
 
 /// Size of a typical specification in JSON.
@@ -46,3 +47,59 @@
     // With values of 8 KiB, an array of 250 tasks fits in one key, so that a launch takes one mutation.
     assert!(tasks_per_page(8192 * 31 / 32, SPEC_BYTES) >= 250);
 }
+
+/// Names with characters that JSON writes as escape sequences.
+const UNUSUAL_NAMES: [&str; 6] =
+    ["ééééééééééééé", "quo\"te", "back\\slash", "งานผู้ป่วย", "\u{1f69b}\u{1f69b}", "tab\tline\n"];
+
+fn spec_with_names(count: usize) -> JobSpec {
+    let names = UNUSUAL_NAMES.iter().cycle().take(count);
+    JobSpec {
+        id: "req-1".into(),
+        class: "work".into(),
+        team: "dispatch".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks: 9,
+        cores: 1.0,
+        accelerators: 0.0,
+        memory_gb: 1.0,
+        image: UNUSUAL_NAMES.concat(),
+        image_gb: 1.0,
+        machine_types: Some(names.map(ToString::to_string).collect()),
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimated_run_s: 1.0,
+        checkpoint_interval_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        dependencies: Vec::new(),
+    }
+}
+
+/// Guards against a size that is estimated too low because JSON may escape characters beyond ASCII.
+#[test]
+fn sizes_allow_for_escaped_characters() {
+    assert_eq!(json_size(&"งา"), "\"\\u0e07\\u0e32\"".len());
+    assert_eq!(json_size(&"a\u{1f69b}"), "\"a\\ud83d\\ude9b\"".len());
+    for name in UNUSUAL_NAMES {
+        let placement = StoredPlacement { task: 3, attempt: 2, machine: name.into() };
+        assert!(StoredPlacement::size(3, 2, name) >= json_size(&placement), "{name}");
+    }
+}
+
+/// Guards against chunks that exceed a value because JSON escapes their characters.
+#[test]
+fn chunks_of_unusual_names_fit_a_value() {
+    for max_value_bytes in [1_984, 7_936, 31_744] {
+        for count in 0..400 {
+            let spec = spec_with_names(count);
+            let record = JobRecord::new(spec.clone(), 1.7e9, max_value_bytes);
+            let (_, chunks) = record.split_spec("67654321-ffffffff".into(), max_value_bytes);
+            let chunk_sizes = chunks.iter().map(|(_, chunk)| json_size(chunk));
+            assert!(chunk_sizes.max().unwrap_or_default() <= max_value_bytes, "{count}");
+        }
+    }
+}
