One rule says whether a job's record has room for its placements

Cause: a submission, a stored layout and a placement each estimated the size of the record in their own way, and specifications within about 200 bytes below the limit were accepted but had no room for one placement.

Change: JobValueSizes (value_fit.rs) is the only rule. A specification stays in the record if this leaves room for the smallest first page; acceptance, loading and placement use it. An empty page accepts its first placement, and the write that stores it lays the job out anew if needed.

--- a/crates/controller/src/client_api/submissions.rs
+++ b/crates/controller/src/client_api/submissions.rs
@@ -5,7 +5,7 @@
 };
 use crate::client_api::feasibility::check_feasibility;
 use crate::client_api::status_queries::CacheGeneration;
-use crate::model::records::{job_key, json_size, JobRecord, Value, RECORD_OVERHEAD_BYTES};
+use crate::model::records::{job_key, json_size, JobRecord, JobValueSizes, Value};
 use crate::storage::spec_chunks::{new_job_conditions, new_nonce};
 use crate::storage::write_queue::LEADER_WRITE_SHARE;
 use crate::{CallContext, Controller, RequestId, StoreReply};
@@ -128,12 +128,11 @@
         }
         let max_value_bytes = self.store_limits.value_bytes();
         let record = JobRecord { status, ..JobRecord::new(spec, self.wall_time_s, max_value_bytes) };
-        let needs_chunks = json_size(&record) + RECORD_OVERHEAD_BYTES / 2 > max_value_bytes;
+        let sizes = JobValueSizes::with_whole_spec(&record.spec);
+        let tasks = record.spec.tasks;
+        let needs_chunks = !sizes.leaves_room_for_first_page(tasks, max_value_bytes);
         let may_use_chunks = self.uses_current_format();
-        // A restarted node that does not know the common format yet must not store such a job as a
-        // whole: under the next limits the leader could never write the record again, and the job
-        // would never run.
-        if needs_chunks && !may_use_chunks && !self.formats.gate.was_answered() {
+        if needs_chunks && !may_use_chunks && !self.may_store_large_spec(sizes, tasks) {
             return self.respond_error(request_id, 503, "not known yet whether all nodes read parts");
         }
         let mut submission = PendingSubmission {
@@ -151,6 +150,14 @@
         self.store_next_chunks(&id);
     }
 
+    /// Whether a specification that needs chunks may be part of its record, while it is not known that
+    /// all nodes read chunks. A restarted node must not do this before it has read the agreed format:
+    /// the leader would have to move the specification into chunks later.
+    fn may_store_large_spec(&self, sizes: JobValueSizes, tasks: u32) -> bool {
+        self.formats.gate.was_answered()
+            && sizes.leaves_room_for_first_page(tasks, self.store_limits.current_value_bytes())
+    }
+
     /// Stores the record of submission `id`. All chunks must have been stored before.
     pub(crate) fn store_job_record(&mut self, id: &str) {
         let Some(submission) = self.client_requests.submissions.get(id) else { return };
--- a/crates/controller/src/model/job.rs
+++ b/crates/controller/src/model/job.rs
@@ -12,7 +12,7 @@
 
 use crate::messages::Time;
 use crate::model::page_layout::PageLayout;
-use crate::model::records::{json_size, spec_stub, JobRecord, SpecChunks, SPEC_CHUNKS_FIELD_BYTES};
+use crate::model::records::{JobRecord, JobValueSizes, SpecChunks};
 use crate::storage::store_limits::StoreLimits;
 use protocol::job::{JobSpec, JobStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -55,8 +55,8 @@
     pub persistence: PersistenceState,
     /// Number that this leader assigned to its image.
     pub image_id: u32,
-    /// Upper bound of the JSON size of the specification in the record, in bytes.
-    spec_size: usize,
+    /// Upper bounds of the sizes of its stored values.
+    value_sizes: JobValueSizes,
     /// Earliest time at which a task may be placed, after tasks of the job failed.
     pub not_before: Time,
     /// Machines on which its tasks failed since a task last succeeded, except machines known to be
@@ -75,22 +75,23 @@
 }
 
 impl Job {
-    fn new(spec: JobSpec, submitted_wall_s: f64, submitted_at: Time, page_layout: PageLayout) -> Self {
-        let tasks = spec.tasks as usize;
+    /// Creates the state of a job from its record, without its first page.
+    fn new(record: &JobRecord, submitted_at: Time, limits: &StoreLimits) -> Self {
+        let value_sizes = JobValueSizes::of_record(record);
         Job {
-            spec_size: json_size(&spec),
-            spec,
-            submitted_wall_s,
+            value_sizes,
+            spec: record.spec.clone(),
+            submitted_wall_s: record.submitted_wall_s,
             submitted_at,
             ready_at: submitted_at,
             ready_wall_s: None,
             spec_chunks: None,
             inherited_priority: None,
             status: JobStatus::Pending,
-            done_tasks: vec![false; tasks],
+            done_tasks: vec![false; record.spec.tasks as usize],
             done_count: 0,
             attempt: 0,
-            page_layout,
+            page_layout: PageLayout::stored(record, value_sizes, limits),
             placements: BTreeMap::new(),
             version: 0,
             cancellation_mark: CancellationMark::default(),
@@ -108,13 +109,7 @@
 
     /// Creates a job from version `version` of its record.
     pub fn from_record(record: &JobRecord, version: u64, submitted_at: Time, limits: &StoreLimits) -> Self {
-        let spec_size = match record.spec_chunks {
-            Some(_) => json_size(&spec_stub(&record.spec)) + SPEC_CHUNKS_FIELD_BYTES,
-            None => json_size(&record.spec),
-        };
-        let layout = PageLayout::stored(record.per_page, record.layout, record.spec.tasks, spec_size, limits);
-        let mut job = Job::new(record.spec.clone(), record.submitted_wall_s, submitted_at, layout);
-        job.spec_size = spec_size;
+        let mut job = Job::new(record, submitted_at, limits);
         job.spec_chunks.clone_from(&record.spec_chunks);
         job.version = version;
         job.status = record.status;
--- a/crates/controller/src/model/job/pages.rs
+++ b/crates/controller/src/model/job/pages.rs
@@ -3,16 +3,16 @@
 use super::{Job, Placement};
 use crate::messages::Time;
 use crate::model::records::{
-    halved_page, merge_bits, pack_bits, tasks_per_page, PageRecord, StoredPlacement, MIN_TASKS_PER_PAGE,
-    RECORD_OVERHEAD_BYTES,
+    halved_page, merge_bits, pack_bits, PageRecord, StoredPlacement, MIN_TASKS_PER_PAGE,
 };
+use protocol::job::Shape;
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-/// JSON size of a page's value without its placements and completion bits, in bytes.
-const PAGE_OVERHEAD_BYTES: usize = 60;
-/// Number of tasks whose completion bits take one byte.
-const TASKS_PER_BYTE: usize = 4;
+/// Returns an upper bound of the JSON size of a stored placement, in bytes.
+fn placement_size(task: u32, placement: &Placement) -> usize {
+    StoredPlacement::size(task, placement.attempt, &placement.machine)
+}
 
 impl Job {
     /// Loads a page that an earlier leader stored. Returns false if the page belongs to another layout:
@@ -75,22 +75,26 @@
     /// Returns an upper bound of the JSON size of a page's value, in bytes. For the first page, this is
     /// the main record without the list of machines that have the job's image.
     pub fn page_bytes(&self, page: usize) -> usize {
-        let fixed_bytes =
-            if page == 0 { self.spec_size + RECORD_OVERHEAD_BYTES } else { PAGE_OVERHEAD_BYTES };
-        self.placement_bytes(page) + self.task_range(page).len().div_ceil(TASKS_PER_BYTE) + fixed_bytes
+        self.page_bytes_with(page, self.placement_bytes(page))
+    }
+
+    fn page_bytes_with(&self, page: usize, placement_bytes: usize) -> usize {
+        self.value_sizes.page_bytes(page, self.task_range(page).len(), placement_bytes)
     }
 
-    /// Returns the maximum number of bytes that a page's placements may take.
-    pub fn placement_bytes_left(&self, page: usize) -> usize {
-        let fixed_bytes = self.page_bytes(page) - self.placement_bytes(page);
-        self.page_layout.max_value_bytes.saturating_sub(fixed_bytes)
+    /// Whether a placement of `added` bytes may be created on a page whose placements take
+    /// `placement_bytes`. The first placement of a page always may: if its page does not fit, the write
+    /// that stores it lays the job out anew. Otherwise the task would wait forever. Placements of gangs
+    /// always may, because a gang must not be placed partially.
+    pub fn accepts_placement(&self, page: usize, placement_bytes: usize, added: usize) -> bool {
+        self.spec.shape == Shape::Gang
+            || placement_bytes == 0
+            || self.page_bytes_with(page, placement_bytes + added) <= self.page_layout.max_value_bytes
     }
 
     /// Returns the number of bytes that a page's placements take.
     pub fn placement_bytes(&self, page: usize) -> usize {
-        self.placements_on_page(page)
-            .map(|(task, placement)| StoredPlacement::size(task, placement.attempt, &placement.machine))
-            .sum()
+        self.placements_on_page(page).map(|(task, placement)| placement_size(task, placement)).sum()
     }
 
     /// Whether a value exceeds the next limits with the current number of tasks per page.
@@ -114,7 +118,7 @@
 
     /// Lowers the number of tasks per page until each value fits.
     fn shrink_pages(&mut self) {
-        let fitting = tasks_per_page(self.page_layout.next_value_bytes(), self.spec_size);
+        let fitting = self.value_sizes.tasks_per_page(self.page_layout.next_value_bytes());
         self.page_layout.per_page = self.page_layout.per_page.min(fitting);
         while self.page_layout.per_page > MIN_TASKS_PER_PAGE && self.needs_repagination() {
             self.page_layout.per_page = halved_page(self.page_layout.per_page);
--- a/crates/controller/src/model/page_layout.rs
+++ b/crates/controller/src/model/page_layout.rs
@@ -5,7 +5,7 @@
 //! the transaction that writes the record. Until then, also if the leader fails meanwhile, the old
 //! layout stays in force. Thus a job of any size can be repaginated a few values at a time.
 
-use crate::model::records::{page_key, tasks_per_page, MIN_TASKS_PER_PAGE};
+use crate::model::records::{page_key, JobRecord, JobValueSizes, MIN_TASKS_PER_PAGE};
 use crate::storage::store_limits::StoreLimits;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -43,19 +43,23 @@
 }
 
 impl PageLayout {
-    /// Creates the layout named by the stored record of a job with `tasks` tasks. If an earlier software
+    /// Creates the layout named by a stored record whose values have these sizes. If an earlier software
     /// version created the layout, its values may fit only the current limits.
-    pub fn stored(per_page: u32, number: u32, tasks: u32, spec_size: usize, limits: &StoreLimits) -> Self {
-        let per_page = per_page.max(MIN_TASKS_PER_PAGE);
+    pub fn stored(record: &JobRecord, sizes: JobValueSizes, limits: &StoreLimits) -> Self {
+        let per_page = record.per_page.max(MIN_TASKS_PER_PAGE);
+        let tasks = record.spec.tasks;
         let next_value_bytes = limits.value_bytes();
-        let may_exceed_next = per_page.min(tasks) > tasks_per_page(next_value_bytes, spec_size);
+        let is_spec_too_large =
+            !sizes.is_spec_chunked() && !sizes.leaves_room_for_first_page(tasks, next_value_bytes);
+        let may_exceed_next =
+            is_spec_too_large || per_page.min(tasks) > sizes.tasks_per_page(next_value_bytes);
         let max_value_bytes = if may_exceed_next {
             limits.current_value_bytes().max(next_value_bytes)
         } else {
             next_value_bytes
         };
         PageLayout {
-            number,
+            number: record.layout,
             per_page,
             max_value_bytes,
             next_value_bytes,
--- a/crates/controller/src/model/records.rs
+++ b/crates/controller/src/model/records.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod page_size;
 mod specification;
+mod value_fit;
 mod values;
 
 pub use completion_bits::{merge_bits, pack_bits};
@@ -15,6 +16,7 @@
 pub(crate) use page_size::{halved_page, MIN_TASKS_PER_PAGE};
 pub use page_size::{tasks_per_page, RECORD_OVERHEAD_BYTES};
 pub use specification::{catalogue_chunks, parse_catalogue, spec_stub, SpecChunks, SPEC_CHUNKS_FIELD_BYTES};
+pub use value_fit::JobValueSizes;
 pub use values::*;
 
 /// Record format that this version reads and writes. Format 2 stores terminal jobs apart from live
--- a/crates/controller/src/model/records/page_size.rs
+++ b/crates/controller/src/model/records/page_size.rs
@@ -13,7 +13,7 @@
 /// Maximum number of tasks per page.
 const MAX_TASKS_PER_PAGE: usize = 4096;
 /// Number of completion bits per hexadecimal digit, which takes one byte.
-const TASKS_PER_DIGIT: usize = 4;
+pub(super) const TASKS_PER_DIGIT: usize = 4;
 
 /// Returns the number of tasks per page such that a page full of placements usually fits
 /// `max_value_bytes`. With longer names than usual, a page holds fewer placements and the other tasks
--- a/crates/controller/src/model/records/specification.rs
+++ b/crates/controller/src/model/records/specification.rs
@@ -3,8 +3,8 @@
 
 use super::json_size::json_char_bytes;
 use super::keys::{catalogue_key, SPEC_CHUNK_PREFIX};
-use super::page_size::tasks_per_page;
-use super::{json_size, JobRecord, Value};
+use super::value_fit::JobValueSizes;
+use super::{JobRecord, Value};
 use protocol::cloud::MachineType;
 use protocol::job::JobSpec;
 use serde::{Deserialize, Serialize};
@@ -101,7 +101,7 @@
         let keys = chunks.keys(&self.spec.id);
         let values = keys.into_iter().zip(texts.into_iter().map(Value::SpecChunk)).collect();
         let spec = spec_stub(&self.spec);
-        let per_page = tasks_per_page(max_value_bytes, json_size(&spec) + SPEC_CHUNKS_FIELD_BYTES);
+        let per_page = JobValueSizes::with_chunked_spec(&spec).tasks_per_page(max_value_bytes);
         (JobRecord { spec, per_page, spec_chunks: Some(chunks), ..self }, values)
     }
 
--- a/crates/controller/src/model/records/values.rs
+++ b/crates/controller/src/model/records/values.rs
@@ -1,8 +1,8 @@
 //! Stored values. The field names in the store never change; where they differ from those in the code,
 //! serde attributes name them.
 
-use super::page_size::tasks_per_page;
 use super::specification::SpecChunks;
+use super::value_fit::JobValueSizes;
 use super::{json_size, json_text_bytes};
 use protocol::cloud::MachineType;
 use protocol::job::{JobSpec, JobStatus};
@@ -108,10 +108,14 @@
 impl StoredPlacement {
     /// Returns an upper bound of its JSON bytes: both numbers, the name, and the punctuation.
     pub fn size(task: u32, attempt: u64, machine: &str) -> usize {
-        decimal_digits(u64::from(task))
-            + decimal_digits(attempt)
-            + json_text_bytes(machine)
-            + PLACEMENT_OVERHEAD_BYTES
+        Self::max_size(task, attempt, json_text_bytes(machine))
+    }
+
+    /// Returns an upper bound of the JSON bytes of a placement whose machine's name takes
+    /// `machine_name_bytes`.
+    pub(super) fn max_size(task: u32, attempt: u64, machine_name_bytes: usize) -> usize {
+        let number_bytes = decimal_digits(u64::from(task)) + decimal_digits(attempt);
+        number_bytes + machine_name_bytes + PLACEMENT_OVERHEAD_BYTES
     }
 }
 
@@ -181,7 +185,7 @@
     /// value may take `max_value_bytes`.
     pub fn new(spec: JobSpec, submitted_wall_s: f64, max_value_bytes: usize) -> Self {
         JobRecord {
-            per_page: tasks_per_page(max_value_bytes, json_size(&spec)),
+            per_page: JobValueSizes::with_whole_spec(&spec).tasks_per_page(max_value_bytes),
             submitted_wall_s,
             status: JobStatus::Pending,
             done: 0,
--- a/crates/controller/src/scheduling/apply_plan.rs
+++ b/crates/controller/src/scheduling/apply_plan.rs
@@ -75,7 +75,7 @@
     }
 
     /// Reserves space for the placement on the page that stores it. Returns whether the placement may
-    /// be created; placements of gangs always may, because a gang must not be placed partially.
+    /// be created.
     fn reserve_page_bytes(&mut self, job: &Job, start: &Start, attempt: u64, machine: &str) -> bool {
         let page = job.page_of(start.task);
         let bytes = self
@@ -83,14 +83,12 @@
             .entry(StoredPage { job: start.job, page })
             .or_insert_with(|| job.placement_bytes(page));
         let added = StoredPlacement::size(start.task, attempt, machine);
-        let bytes_left = job.placement_bytes_left(page);
-        if *bytes + added > bytes_left && job.spec.shape != Shape::Gang {
+        if !job.accepts_placement(page, *bytes, added) {
             debug!(
                 job = %job.spec.id,
                 task = start.task,
                 added,
                 bytes = *bytes,
-                bytes_left,
                 "placement withheld: no room in its stored page"
             );
             return false;
--- a/crates/controller/tests/records.rs
+++ b/crates/controller/tests/records.rs
@@ -103,3 +103,52 @@
         }
     }
 }
+
+/// Guards against two estimates of one size: whatever the length of a specification, a record that
+/// is stored with it keeps room for placements, and otherwise each of its chunks fits.
+#[test]
+fn every_specification_fits_its_record_or_its_chunks() {
+    for max_value_bytes in [1_984, 7_936, 31_744] {
+        for count in 0..400 {
+            let spec = spec_with_names(count);
+            let sizes = JobValueSizes::with_whole_spec(&spec);
+            let record = JobRecord::new(spec.clone(), 1.7e9, max_value_bytes);
+            if sizes.leaves_room_for_first_page(spec.tasks, max_value_bytes) {
+                assert!(
+                    json_size(&Value::Job(Box::new(full_first_page(record)))) <= max_value_bytes,
+                    "{count}"
+                );
+                continue;
+            }
+            let (mut stub, chunks) = record.split_spec("67654321-ffffffff".into(), max_value_bytes);
+            let chunk_sizes = chunks.iter().map(|(_, chunk)| json_size(chunk));
+            assert!(chunk_sizes.max().unwrap_or_default() <= max_value_bytes, "{count}");
+            let texts = chunks.iter().map(|(_, chunk)| match chunk {
+                Value::SpecChunk(text) => text.clone(),
+                other => panic!("{other:?}"),
+            });
+            let texts: Vec<String> = texts.collect();
+            assert!(
+                json_size(&Value::Job(Box::new(full_first_page(stub.clone())))) <= max_value_bytes,
+                "{count}"
+            );
+            assert!(stub.join_spec(&texts) && stub.spec == spec, "{count}");
+        }
+    }
+}
+
+/// Fills the smallest first page with placements, and every other field with its longest value.
+fn full_first_page(record: JobRecord) -> JobRecord {
+    let placement = |task| StoredPlacement { task, attempt: u64::from(u32::MAX), machine: "m".repeat(64) };
+    let first_page = PageRecord { done: "fff".into(), placements: (0..4).map(placement).collect() };
+    JobRecord {
+        first_page,
+        submitted_wall_s: 1_700_000_000.123_456_7,
+        ready_wall_s: Some(1_700_000_000.123_456_7),
+        done: u32::MAX,
+        running: u32::MAX,
+        attempt: u64::MAX,
+        layout: u32::MAX,
+        ..record
+    }
+}
