Leaders move specifications that were stored whole into chunks

Cause: such a record is stored whole, and a new layout made only its pages of tasks smaller. The refused value was 2,291 bytes in all 2,763 refusals, over the limit of 2,048. Records that had ended were not laid out anew at all.

Change: a new layout also moves the specification into chunks if the record has no room beside it. Chunks are written first, on the condition that the record is unchanged, the record last; until then the old record is valid. Ended records are laid out anew unless this write archives them.

--- a/crates/controller/src/model/job.rs
+++ b/crates/controller/src/model/job.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod progress;
 mod record;
+mod spec_split;
 
 pub use persistence::{JobWrite, PersistenceState};
 pub use placement::Placement;
@@ -12,7 +13,7 @@
 
 use crate::messages::Time;
 use crate::model::page_layout::PageLayout;
-use crate::model::records::{JobRecord, JobValueSizes, SpecChunks};
+use crate::model::records::{JobRecord, JobValueSizes, SpecChunks, Value};
 use crate::storage::store_limits::StoreLimits;
 use protocol::job::{JobSpec, JobStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,9 @@
     pub image_id: u32,
     /// Upper bounds of the sizes of its stored values.
     value_sizes: JobValueSizes,
+    /// Chunks of the specification that must be stored before the record refers to them, in reverse
+    /// order: key and value.
+    unstored_spec_chunks: Vec<(String, Value)>,
     /// Earliest time at which a task may be placed, after tasks of the job failed.
     pub not_before: Time,
     /// Machines on which its tasks failed since a task last succeeded, except machines known to be
@@ -80,6 +84,7 @@
         let value_sizes = JobValueSizes::of_record(record);
         Job {
             value_sizes,
+            unstored_spec_chunks: Vec::new(),
             spec: record.spec.clone(),
             submitted_wall_s: record.submitted_wall_s,
             submitted_at,
--- a/crates/controller/src/model/job/pages.rs
+++ b/crates/controller/src/model/job/pages.rs
@@ -97,16 +97,30 @@
         self.placements_on_page(page).map(|(task, placement)| placement_size(task, placement)).sum()
     }
 
-    /// Whether a value exceeds the next limits with the current number of tasks per page.
-    pub fn needs_repagination(&self) -> bool {
+    /// Whether a value exceeds the next limits and a new layout would make it smaller.
+    pub fn needs_new_layout(&self) -> bool {
+        let can_shrink =
+            self.page_layout.per_page > MIN_TASKS_PER_PAGE || !self.value_sizes.is_spec_chunked();
+        can_shrink && self.exceeds_next_limit()
+    }
+
+    /// Whether a value exceeds the next limits in the current layout.
+    pub fn exceeds_next_limit(&self) -> bool {
         let placed = self.placements.keys().map(|&task| self.page_of(task));
         let pages: BTreeSet<usize> = placed.chain(self.persistence.dirty_pages()).chain([0]).collect();
         pages.into_iter().any(|page| self.page_bytes(page) > self.page_layout.next_value_bytes())
     }
 
-    /// Divides the tasks into smaller pages so that each value fits the next limits. The stored record
-    /// names the old layout until it is written itself, after all other pages.
-    pub fn repaginate(&mut self) {
+    /// Starts a new layout in which each value fits the next limits: the tasks are divided into smaller
+    /// pages and, if the record would have no room for them beside the specification, this is split
+    /// into chunks named by `nonce`. The stored record names the old layout until it is written itself,
+    /// after all other pages and all chunks.
+    pub fn begin_new_layout(&mut self, nonce: String) {
+        if !self.value_sizes.leaves_room_for_first_page(self.spec.tasks, self.page_layout.next_value_bytes())
+            || self.page_bytes_at_smallest_layout() > self.page_layout.next_value_bytes()
+        {
+            self.split_spec(nonce);
+        }
         self.shrink_pages();
         self.page_layout.begin_layout();
         let pages = self.pages_in_use();
@@ -120,11 +134,20 @@
     fn shrink_pages(&mut self) {
         let fitting = self.value_sizes.tasks_per_page(self.page_layout.next_value_bytes());
         self.page_layout.per_page = self.page_layout.per_page.min(fitting);
-        while self.page_layout.per_page > MIN_TASKS_PER_PAGE && self.needs_repagination() {
+        while self.page_layout.per_page > MIN_TASKS_PER_PAGE && self.exceeds_next_limit() {
             self.page_layout.per_page = halved_page(self.page_layout.per_page);
         }
     }
 
+    /// Returns an upper bound of the size of the main record in the layout with the smallest pages.
+    fn page_bytes_at_smallest_layout(&self) -> usize {
+        let first_page_tasks = self.done_tasks.len().min(MIN_TASKS_PER_PAGE as usize);
+        let placements = self.placements.range(..first_page_tasks as u32);
+        let placement_bytes =
+            placements.map(|(&task, placement)| placement_size(task, placement)).sum::<usize>();
+        self.value_sizes.page_bytes(0, first_page_tasks, placement_bytes)
+    }
+
     /// Returns the first page and all pages with tasks that are done or placed.
     fn pages_in_use(&self) -> BTreeSet<usize> {
         let done = self.done_tasks.iter().enumerate().filter(|(_, &done)| done);
--- a/crates/controller/src/storage/spec_chunks.rs
+++ b/crates/controller/src/storage/spec_chunks.rs
@@ -85,29 +85,43 @@
     version: u64,
 }
 
-/// Removes from the end of `pending` the chunks that fit one transaction, at least one if there are
-/// any, and returns their mutations.
-fn take_chunks(pending: &mut Vec<(String, Value)>, max_mutations: usize) -> Vec<Mutation<Value>> {
-    let mut bytes_left = TARGET_TRANSACTION_BYTES;
+/// Chunks that go into one transaction.
+pub struct ChunkMutations {
+    /// Puts of the chunks.
+    pub mutations: Vec<Mutation<Value>>,
+    /// Bytes that they add to the transaction.
+    pub size_bytes: usize,
+}
+
+/// Removes from the end of `pending` the chunks that fit into `max_mutations` and `bytes_left`. If an
+/// empty transaction has room for none, it gets one, and the store decides.
+pub fn take_chunks(
+    pending: &mut Vec<(String, Value)>,
+    max_mutations: usize,
+    bytes_left: usize,
+) -> ChunkMutations {
+    let is_empty_transaction = bytes_left >= TARGET_TRANSACTION_BYTES;
+    let mut size_bytes = 0;
     let mut mutations = Vec::new();
     while let Some((key, value)) = pending.pop() {
         let size = json_size(&value) + key.len() + PUT_OVERHEAD_BYTES;
-        let fits = size <= bytes_left || mutations.is_empty();
+        let fits = size_bytes + size <= bytes_left || is_empty_transaction && mutations.is_empty();
         if mutations.len() >= max_mutations || !fits {
             pending.push((key, value));
             break;
         }
-        bytes_left = bytes_left.saturating_sub(size);
+        size_bytes += size;
         mutations.push(Mutation::Put { key, value, lease: None });
     }
-    mutations
+    ChunkMutations { mutations, size_bytes }
 }
 
 impl Controller {
     /// Stores the next chunks of a submission, or its record once all chunks are stored.
     pub(crate) fn store_next_chunks(&mut self, id: &str) {
         let max_mutations = self.store_limits.mutations();
-        let mutations = take_chunks(self.client_requests.pending_chunks(id), max_mutations);
+        let pending = self.client_requests.pending_chunks(id);
+        let ChunkMutations { mutations, .. } = take_chunks(pending, max_mutations, TARGET_TRANSACTION_BYTES);
         if mutations.is_empty() {
             return self.store_job_record(id);
         }
--- a/crates/controller/src/storage/write_queue.rs
+++ b/crates/controller/src/storage/write_queue.rs
@@ -98,6 +98,8 @@
     job_id: String,
     /// Extent of the job's state that it stores.
     write: JobWrite,
+    /// Keys of the chunks of its specification that it stores.
+    spec_chunk_keys: Vec<String>,
     /// Whether the job has ended and the transaction archives its record.
     archives: bool,
     /// Final status that it stores, if any.
@@ -195,17 +197,18 @@
             rate: self.store_limits.write_rps() * LEADER_WRITE_SHARE,
             lazy_delay_s: self.settings.params.workers.heartbeat_interval_s / 2.0,
             current_value_bytes: self.store_limits.current_value_bytes(),
-            may_repaginate: self.uses_current_format(),
+            may_change_layout: self.uses_current_format(),
             may_archive: leader.is_some_and(|leader| leader.archive.is_enabled()),
+            wall_time_s: self.wall_time_s,
         }
     }
 }
 
 impl LeaderState {
-    /// Marks one job for repagination while no write is due: the most urgent one whose values were
+    /// Marks one job for a new layout while no write is due: the most urgent one whose values were
     /// written by an earlier version and may exceed the announced limits.
     fn shrink_oversized_job(&mut self, conditions: &WriteConditions) {
-        if !conditions.may_repaginate {
+        if !conditions.may_change_layout {
             return;
         }
         let budget = self.fleet.write_budget(conditions.rate);
--- a/crates/controller/src/storage/write_queue/outcome.rs
+++ b/crates/controller/src/storage/write_queue/outcome.rs
@@ -120,7 +120,7 @@
         for entry in entries {
             let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) else { continue };
             let next_is_smaller =
-                may_change_layout && !job.page_layout.is_changing() && job.needs_repagination();
+                may_change_layout && !job.page_layout.is_changing() && job.needs_new_layout();
             if entries.len() == 1 && !next_is_smaller {
                 job.suspend_writes(now, lease_s);
             }
@@ -154,6 +154,7 @@
 impl LeaderState {
     fn on_job_stored(&mut self, entry: &TransactionEntry, revision: u64) {
         let Some(job) = self.cluster.jobs.get_mut(&entry.job_id) else { return };
+        job.on_spec_chunks_stored(&entry.spec_chunk_keys);
         job.on_stored(&entry.write, revision);
         self.archive.discard_keys(job.page_layout.take_obsolete_keys(&entry.job_id));
         let machines = job.placements.values().map(|placement| placement.machine.clone());
@@ -161,7 +162,7 @@
     }
 
     fn may_exceed_announced_limits(&self, id: &str) -> bool {
-        let exceeds = |job: &Job| job.needs_repagination() || job.page_layout.exceeds_next_limit();
+        let exceeds = |job: &Job| job.exceeds_next_limit() || job.page_layout.exceeds_next_limit();
         self.cluster.jobs.get(id).is_some_and(exceeds)
     }
 
--- a/crates/controller/src/storage/write_queue/transaction.rs
+++ b/crates/controller/src/storage/write_queue/transaction.rs
@@ -8,6 +8,8 @@
 use crate::model::records::{job_key, page_key, Value};
 use crate::storage::archive::ArchiveMove;
 use crate::storage::fencing::leader_compare;
+use crate::storage::spec_chunks::{new_nonce, take_chunks};
+use crate::storage::store_limits::TARGET_TRANSACTION_BYTES;
 use crate::RateLimiter;
 use dependencies::DependencyGraph;
 use protocol::job::JobStatus;
@@ -36,10 +38,12 @@
     pub lazy_delay_s: Time,
     /// Maximum size in bytes of a value under the current limits.
     pub current_value_bytes: usize,
-    /// Whether jobs may be repaginated, which requires that every node reads the current format.
-    pub may_repaginate: bool,
+    /// Whether jobs may be laid out anew, which requires that every node reads the current format.
+    pub may_change_layout: bool,
     /// Whether jobs may be archived, which requires that every node reads archived jobs.
     pub may_archive: bool,
+    /// Time of day, in seconds.
+    pub wall_time_s: Time,
 }
 
 impl WriteConditions {
@@ -57,6 +61,7 @@
     transaction: Transaction<Value>,
     entries: Vec<TransactionEntry>,
     size_bytes: usize,
+    fencing_token: u64,
 }
 
 impl<'a> TransactionBuilder<'a> {
@@ -74,6 +79,7 @@
             transaction: Transaction { compares: vec![leader_compare(fencing_token)], mutations: Vec::new() },
             entries: Vec::new(),
             size_bytes: 0,
+            fencing_token,
         }
     }
 
@@ -102,12 +108,15 @@
         if room == 0 || due.is_lazy && !has_reserve {
             return ControlFlow::Break(());
         }
-        self.fit_pages(job);
         let max_mutations = (available as usize).min(room);
         if has_reserve && self.can_archive(job, max_mutations) {
             self.add_archive_move(job);
             return ControlFlow::Continue(());
         }
+        self.fit_values(job);
+        if !job.unstored_spec_chunks().is_empty() {
+            return self.add_spec_chunks(job, max_mutations);
+        }
         let is_delay_over = job
             .persistence
             .dirty_since
@@ -124,15 +133,17 @@
         ControlFlow::Continue(())
     }
 
-    /// Repaginates the job if a value would exceed the announced limits or, while some node may not
-    /// be able to read the new layout, allows larger values.
-    fn fit_pages(&self, job: &mut Job) {
-        if job.has_fully_ended() || job.page_layout.is_changing() || !job.needs_repagination() {
+    /// Starts a new layout of the job if a value would exceed the announced limits or, while some node
+    /// may not be able to read the new layout, allows larger values.
+    fn fit_values(&self, job: &mut Job) {
+        if job.page_layout.is_changing() || !job.needs_new_layout() {
             return;
         }
-        if self.conditions.may_repaginate {
-            debug!(job = %job.spec.id, per_page = job.page_layout.per_page, "job repaginated");
-            job.repaginate();
+        if self.conditions.may_change_layout {
+            let nonce = new_nonce(self.conditions.wall_time_s, self.fencing_token as u32);
+            job.begin_new_layout(nonce);
+            let chunks = job.unstored_spec_chunks().len();
+            debug!(job = %job.spec.id, per_page = job.page_layout.per_page, chunks, "new layout of a job");
         } else {
             job.page_layout.allow_current_limits(self.conditions.current_value_bytes);
         }
@@ -165,12 +176,46 @@
                 pages: BTreeSet::from([0]),
                 covers_all: true,
             },
+            spec_chunk_keys: Vec::new(),
             archives: true,
             final_status: Some(job.status),
             marks_ready: true,
         });
     }
 
+    /// Adds chunks of the job's specification. Without the condition on the record, a transaction that
+    /// is applied late would leave chunks that no record refers to.
+    fn add_spec_chunks(&mut self, job: &Job, max_mutations: usize) -> ControlFlow<()> {
+        let mut pending = job.unstored_spec_chunks().to_vec();
+        let bytes_left = TARGET_TRANSACTION_BYTES.saturating_sub(self.size_bytes);
+        let chunks = take_chunks(&mut pending, max_mutations, bytes_left);
+        if chunks.mutations.is_empty()
+            || !self.budget.try_acquire(self.conditions.now, chunks.mutations.len() as f64)
+        {
+            return ControlFlow::Break(());
+        }
+        self.size_bytes += chunks.size_bytes;
+        self.transaction.compares.push(Compare { key: job_key(&job.spec.id), version: job.version });
+        let stored = |mutation: &Mutation<Value>| match mutation {
+            Mutation::Put { key, .. } | Mutation::Delete { key } => key.clone(),
+        };
+        let spec_chunk_keys = chunks.mutations.iter().map(stored).collect();
+        self.transaction.mutations.extend(chunks.mutations);
+        self.entries.push(TransactionEntry {
+            job_id: job.spec.id.clone(),
+            write: JobWrite {
+                mutation_count: job.persistence.mutation_count(),
+                pages: BTreeSet::new(),
+                covers_all: false,
+            },
+            spec_chunk_keys,
+            archives: false,
+            final_status: None,
+            marks_ready: false,
+        });
+        ControlFlow::Continue(())
+    }
+
     fn add_pages(&mut self, job: &mut Job, pages: BTreeSet<usize>) {
         let covers_all = job.persistence.is_covered_by(&pages);
         let with_record = pages.contains(&0);
@@ -186,6 +231,7 @@
         self.entries.push(TransactionEntry {
             job_id: job.spec.id.clone(),
             write: JobWrite { mutation_count: job.persistence.mutation_count(), pages, covers_all },
+            spec_chunk_keys: Vec::new(),
             archives: false,
             final_status: Some(job.status).filter(|status| with_record && status.is_final()),
             marks_ready: with_record && job.ready_wall_s.is_some(),
--- a/crates/simulation/tests/value_limits.rs
+++ b/crates/simulation/tests/value_limits.rs
@@ -5,7 +5,7 @@
 
 use anisecroft_simulation::{Fault, ScheduledFault, Setup, Simulation, Submission};
 use common::*;
-use controller::records::json_size;
+use controller::records::{json_size, ARCHIVE_FORMAT, FORMAT};
 use protocol::job::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use rayon::prelude::*;
@@ -189,3 +189,30 @@
         assert_all_served(&mut Simulation::new(setup), &format!("seed {seed}, {limits:?}"));
     });
 }
+
+/// Guards against review/4: a record that was stored whole while a controller of the version in
+/// production ran could not be written again under lower limits, and the leader repeated that write
+/// for ever. Here the controllers are upgraded one by one, and the limits fall afterwards.
+#[test]
+fn jobs_stored_whole_before_an_upgrade_run_under_lower_limits() {
+    (0..12).into_par_iter().for_each(|seed| {
+        let limits = [LIMITS[2], LIMITS[3], ValueLimits { current_kb: 7.0, announced_kb: Some(2.0) }]
+            [seed as usize % 3];
+        let jobs = sized_jobs(limits, seed, 3.0, |spec, size| {
+            with_machine_types(spec, size * [1, 1, 2][seed as usize % 3])
+        });
+        let mut setup = setup_with(limits, seed, jobs);
+        let upgraded_at = 16.0 + (seed % 4) as f64 * 6.0;
+        setup.faults.extend((0..3).map(|node| {
+            let at = upgraded_at - 4.0 + node as f64 * 1.5;
+            ScheduledFault::new(at, Fault::ControllerCrash { node, duration_s: 1.0 })
+        }));
+        setup.faults.push(ScheduledFault::new(upgraded_at + seed as f64 * 0.7, Fault::StoreLimitsReduced));
+        let capacity = [4, 12][seed as usize % 2];
+        let mut sim = Simulation::new(Setup { capacity, ..setup });
+        sim.announce_format(ARCHIVE_FORMAT);
+        assert_eq!(sim.run(upgraded_at), [], "seed {seed}, {limits:?}");
+        sim.announce_format(FORMAT);
+        assert_all_served(&mut sim, &format!("seed {seed}, {limits:?}"));
+    });
+}
