A refused move to the archive holds up no other move

Change: rejected parts are tried one at a time, one that is rejected alone is set aside for a lease; a move keeps its keys until it is confirmed; a conflict that names no moved job is repeated after a pause.

--- a/crates/controller/src/storage/archive.rs
+++ b/crates/controller/src/storage/archive.rs
@@ -76,6 +76,34 @@
     }
 }
 
+/// Jobs that a transaction archives.
+#[derive(Default)]
+struct MovesInFlight {
+    /// Jobs that it archives completely.
+    complete: Vec<TerminalJob>,
+    /// Job of which it only deletes other keys, with the keys that remain.
+    partial: Option<PartialMove>,
+}
+
+/// Move of a job whose other keys do not fit one transaction.
+struct PartialMove {
+    job: TerminalJob,
+    remaining_keys: Vec<String>,
+}
+
+impl MovesInFlight {
+    /// Returns all jobs, as they were before the transaction.
+    fn into_jobs(self) -> Vec<TerminalJob> {
+        self.complete.into_iter().chain(self.partial.map(|partial| partial.job)).collect()
+    }
+}
+
+/// Move of a terminal job that the store refused by itself.
+struct RefusedMove {
+    job: TerminalJob,
+    retry_at: Time,
+}
+
 /// State of the leader's cleanup of the store: terminal jobs to be archived, stale keys to be
 /// deleted, and the machines' images.
 #[derive(Default)]
@@ -94,7 +122,11 @@
     /// Stale keys deleted by the transaction in flight.
     deleting: Vec<String>,
     /// Jobs archived by the transaction in flight; None if there is no such transaction.
-    in_flight: Option<Vec<TerminalJob>>,
+    in_flight: Option<MovesInFlight>,
+    /// Number of moves that are still made one at a time, after the store refused them together.
+    moves_to_isolate: usize,
+    /// Jobs whose move the store refused by itself, with the time of their next attempt.
+    refused: Vec<RefusedMove>,
     /// Earliest time of the next transaction, set after a failed one.
     retry_at: Time,
     /// Limiter of the write rate available to archival.
--- a/crates/simulation/tests/refused_writes.rs
+++ b/crates/simulation/tests/refused_writes.rs
@@ -101,3 +101,20 @@
         assert_others_served(&mut sim, &format!("seed {seed}, {prefix}, invalid: {is_invalid}"));
     });
 }
+
+/// Guards against an archive move that is refused every time and is repeated with all later ones.
+#[test]
+fn refused_archive_move_holds_up_no_other_move() {
+    (0..4).into_par_iter().for_each(|seed| {
+        let mut setup = setup(seed, Vec::new(), 8.0);
+        for Submission { at, cancel_at, .. } in &mut setup.jobs {
+            *cancel_at = Some(*at + 1.0);
+        }
+        let mut sim = Simulation::new(setup);
+        let first = other_job(0).id;
+        let key_prefix = format!("jo/{first}");
+        sim.store_mut().refuse_writes(RefusedWrites { key_prefix, is_invalid: true });
+        sim.run(200.0);
+        assert_eq!(sim.store().count("jo/"), OTHER_JOBS - 1, "seed {seed}");
+    });
+}
