A part of the machines' images that is refused blocks no other part

And the size of a part was estimated from the UTF-8 length of its names, and without a bound for one machine, so that a part could exceed a value.

Change: the next changed part after the last written one is taken; names are counted as JSON counts them; a machine keeps as many images as fit a part.

Result: refused_images_hold_up_no_other_images failed before in both variants (0 parts, 1 part stored in 300 s) and passes now.

--- a/crates/controller/src/storage/archive/machine_images.rs
+++ b/crates/controller/src/storage/archive/machine_images.rs
@@ -4,7 +4,7 @@
 use crate::leader::state::Role;
 use crate::messages::Time;
 use crate::model::cluster::MachineImages;
-use crate::model::records::{images_key, ImagesRecord, Value};
+use crate::model::records::{images_key, json_text_bytes, ImagesRecord, Value};
 use crate::storage::fencing::{is_fenced, leader_compare, LEADERSHIP_LOST};
 use crate::storage::write_queue::LEADER_WRITE_SHARE;
 use crate::{CallContext, Controller, StoreReply, StoreRequest};
@@ -45,6 +45,8 @@
     /// Time of the next comparison with the images that the machines hold.
     check_at: Time,
     in_flight: Option<PartInFlight>,
+    /// Part from which the next comparison starts, so that a part that can't be stored holds up no other.
+    next_part: usize,
 }
 
 impl StoredImages {
@@ -57,13 +59,16 @@
         self.in_flight.is_none() && now >= self.check_at
     }
 
-    /// Returns the first part that differs from its stored record, with its number.
-    fn first_changed(&self, records: Vec<ImagesRecord>) -> Option<(usize, ImagesRecord)> {
+    /// Returns the next part that differs from its stored record, with its number.
+    fn next_changed(&self, records: Vec<ImagesRecord>) -> Option<(usize, ImagesRecord)> {
         let is_stored = |part: &usize, record: &ImagesRecord| {
             self.parts.get(part).is_some_and(|stored| stored.record == *record)
         };
-        let mut parts = records.into_iter().enumerate().take(MAX_PARTS);
-        parts.find(|(part, record)| !is_stored(part, record))
+        let parts = records.into_iter().enumerate().take(MAX_PARTS);
+        let mut changed: Vec<(usize, ImagesRecord)> =
+            parts.filter(|(part, record)| !is_stored(part, record)).collect();
+        let next = changed.iter().position(|(part, _)| *part >= self.next_part).unwrap_or(0);
+        (next < changed.len()).then(|| changed.swap_remove(next))
     }
 
     /// Returns the transaction that writes a part, and records it as in flight.
@@ -71,6 +76,7 @@
         let key = images_key(part);
         let version = self.parts.get(&part).map_or(0, |stored| stored.version);
         self.in_flight = Some(PartInFlight { part, record: record.clone() });
+        self.next_part = part + 1;
         Transaction {
             compares: vec![leader_compare(fencing_token), Compare { key: key.clone(), version }],
             mutations: vec![Mutation::Put { key, value: Value::Images(record), lease: None }],
@@ -82,13 +88,13 @@
 fn split_into_parts(machines: &[MachineImages], max_bytes: usize) -> Vec<ImagesRecord> {
     let mut parts: Vec<ImagesRecord> = Vec::new();
     let mut size = usize::MAX;
-    for machine in machines {
-        if size.saturating_add(max_size(machine)) > max_bytes {
+    for machine in machines.iter().map(|machine| with_images_that_fit(machine, max_bytes)) {
+        if size.saturating_add(max_size(&machine)) > max_bytes {
             parts.push(ImagesRecord::default());
             size = 0;
         }
         if let Some(part) = parts.last_mut() {
-            size += add_machine(part, machine);
+            size += add_machine(part, &machine);
         }
     }
     parts
@@ -96,18 +102,30 @@
 
 /// Returns an upper bound of the bytes that a machine adds to a part.
 fn max_size(machine: &MachineImages) -> usize {
-    let images: usize = machine.images.iter().map(|(name, _)| name.len() + IMAGE_AND_INDEX_BYTES).sum();
-    machine.id.len() + MACHINE_OVERHEAD_BYTES + images
+    let images: usize = machine.images.iter().map(|(name, _)| max_image_size(name)).sum();
+    json_text_bytes(&machine.id) + MACHINE_OVERHEAD_BYTES + images
+}
+
+/// Returns an upper bound of the bytes that an image and its index add to a part.
+fn max_image_size(name: &str) -> usize {
+    json_text_bytes(name) + IMAGE_AND_INDEX_BYTES
+}
+
+/// Returns the machine with as many of its images as a part of `max_bytes` can hold.
+fn with_images_that_fit(machine: &MachineImages, max_bytes: usize) -> MachineImages {
+    let mut machine = machine.clone();
+    while max_size(&machine) > max_bytes && machine.images.pop().is_some() {}
+    machine
 }
 
 /// Adds a machine to a part. Returns the number of bytes added.
 fn add_machine(part: &mut ImagesRecord, machine: &MachineImages) -> usize {
-    let mut size = machine.id.len() + MACHINE_OVERHEAD_BYTES;
+    let mut size = json_text_bytes(&machine.id) + MACHINE_OVERHEAD_BYTES;
     let mut indices = Vec::new();
     for (name, gb) in &machine.images {
         let existing_index = part.images.iter().position(|(existing_name, _)| existing_name == name);
         let index = existing_index.unwrap_or_else(|| {
-            size += name.len() + IMAGE_OVERHEAD_BYTES;
+            size += json_text_bytes(name) + IMAGE_OVERHEAD_BYTES;
             part.images.push((name.clone(), *gb));
             part.images.len() - 1
         });
@@ -137,7 +155,7 @@
         }
         let machine_images = leader.cluster.images_held(MAX_IMAGES_PER_MACHINE);
         let images = &mut leader.archive.images;
-        let Some((part, record)) = images.first_changed(split_into_parts(&machine_images, max_bytes)) else {
+        let Some((part, record)) = images.next_changed(split_into_parts(&machine_images, max_bytes)) else {
             images.check_at = now + interval_s;
             return;
         };
--- a/crates/simulation/tests/refused_writes.rs
+++ b/crates/simulation/tests/refused_writes.rs
@@ -118,3 +118,22 @@
         assert_eq!(sim.store().count("jo/"), OTHER_JOBS - 1, "seed {seed}");
     });
 }
+
+/// Guards against a part of the machines' images that is refused every time, because the service
+/// refuses it or because its names take more bytes than estimated.
+#[test]
+fn refused_images_hold_up_no_other_images() {
+    for (seed, is_refused) in [(0, true), (1, false)] {
+        let mut setup = setup(seed, Vec::new(), 2.0);
+        for (n, Submission { spec, .. }) in setup.jobs.iter_mut().enumerate() {
+            // Each of these characters takes two bytes, and six as an escape sequence.
+            spec.image = format!("{n}{}", "é".repeat(55));
+        }
+        let mut sim = Simulation::new(setup);
+        if is_refused {
+            sim.store_mut().refuse_writes(RefusedWrites { key_prefix: "i/0000".into(), is_invalid: true });
+        }
+        sim.run(300.0);
+        assert!(sim.store().count("i/") >= 3, "seed {seed}: {} parts", sim.store().count("i/"));
+    }
+}
