Values are never larger than a transaction

Suspected, not seen: with value limits of 64 KiB and more, layouts and chunks were sized for values that no transaction of 64 KiB can hold.

Change: both value limits are capped by the size to which transactions are filled.

Result: every_value_fits_a_transaction failed before and passes now.

--- a/crates/controller/src/storage/store_limits.rs
+++ b/crates/controller/src/storage/store_limits.rs
@@ -6,6 +6,9 @@
 use settings::StateLimits;
 use tracing::info;
 
+#[cfg(test)]
+mod tests;
+
 /// JSON bytes up to which a transaction is filled. An eighth of the store's limit is left free, since
 /// sizes are estimates.
 pub const TARGET_TRANSACTION_BYTES: usize = MAX_TRANSACTION_BYTES * 7 / 8;
@@ -37,14 +40,16 @@
         StoreLimits { settings: settings.clone(), rate: settings.write_rps, next_limits_in_force: false }
     }
 
-    /// Returns the maximum size of a value in JSON bytes.
+    /// Returns the maximum size of a value in JSON bytes. A value that exceeds a transaction could never
+    /// be written.
     pub fn value_bytes(&self) -> usize {
-        (self.settings.effective_value_kb() * BYTES_PER_KB * (1.0 - VALUE_SIZE_MARGIN)) as usize
+        let value_bytes = self.settings.effective_value_kb() * BYTES_PER_KB * (1.0 - VALUE_SIZE_MARGIN);
+        (value_bytes as usize).min(TARGET_TRANSACTION_BYTES)
     }
 
     /// Returns the maximum size, in JSON bytes, of a value that an earlier version may have written.
     pub fn current_value_bytes(&self) -> usize {
-        (self.settings.value_kb * BYTES_PER_KB) as usize
+        ((self.settings.value_kb * BYTES_PER_KB) as usize).min(TARGET_TRANSACTION_BYTES)
     }
 
     /// Returns the maximum number of mutations in a transaction.
