Tests: late copies of messages with commands start no task again

A service like this one started a cleared task again from a late copy of a start command. Here starts travel only in responses to heartbeats; docs/safety.md says for each way what stops a second arrival.

Change: the simulation can copy every response to a heartbeat, direct call, batch of forwarded heartbeats and reply to one, restart workers, and records every start of an attempt that the worker had cleared before. No product code changes.

--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -15,5 +15,6 @@
 
 pub use rules::{Rule, Violation};
 pub use sim::{
-    Digest, Fault, MessageFault, MessageKind, PlannedFault, ScheduledFault, Setup, Simulation, Submission,
+    CommandCopies, Digest, Fault, MessageFault, MessageKind, PlannedFault, RepeatedStart, ScheduledFault,
+    Setup, Simulation, Submission,
 };
--- a/crates/simulation/src/sim.rs
+++ b/crates/simulation/src/sim.rs
@@ -7,6 +7,7 @@
 //! change unintentionally.
 
 mod calls;
+mod command_copies;
 mod digest;
 mod event;
 mod fault;
@@ -28,6 +29,7 @@
 mod workers;
 mod world;
 
+pub use command_copies::{CommandCopies, RepeatedStart};
 pub use digest::Digest;
 pub use fault::{Fault, ScheduledFault};
 pub use interception::{MessageFault, MessageKind, PlannedFault, RecordedMessage};
@@ -73,6 +75,10 @@
     pub unanswered_writes: Vec<UnansweredWrite>,
     /// Tasks that started after a user was told that their job is cancelled.
     pub late_starts: Vec<LateStart>,
+    /// Attempts that a worker started again after it had removed them.
+    pub repeated_starts: Vec<RepeatedStart>,
+    /// Late copies of messages with commands.
+    pub command_copies: CommandCopies,
     settings: Settings,
     checks: SafetyChecks,
     /// Share of all messages that is lost.
@@ -193,6 +199,9 @@
                 let call = event::call_of_reply(&input).unwrap_or(0);
                 self.finish_call(CallKey { node, incarnation, call }, input);
             }
+            Event::ReplyCopyArrives { node, incarnation, input } => {
+                self.reply_copy_arrives(node, incarnation, input);
+            }
             Event::CallTimeout(call, outcome) => self.finish_call(call, outcome),
             Event::WorkerTurn(machine) => self.worker_turn(&machine),
             Event::HeartbeatArrives { machine, sequence, node, body } => {
--- a/crates/simulation/src/sim/event.rs
+++ b/crates/simulation/src/sim/event.rs
@@ -47,6 +47,12 @@
         incarnation: u64,
         input: Input,
     },
+    /// Late copy of a reply that arrives although its call may have ended.
+    ReplyCopyArrives {
+        node: usize,
+        incarnation: u64,
+        input: Input,
+    },
     /// Timeout of a call. The input reports it to the controller.
     CallTimeout(CallKey, Input),
     WorkerTurn(String),
@@ -93,6 +99,7 @@
         match self {
             Event::ControllerTick { node, .. }
             | Event::ReplyArrives { node, .. }
+            | Event::ReplyCopyArrives { node, .. }
             | Event::HeartbeatArrives { node, .. }
             | Event::UserRequestArrives { node, .. }
             | Event::ForwardRequestArrives { to: node, .. } => Some(*node),
--- a/crates/simulation/src/sim/fault.rs
+++ b/crates/simulation/src/sim/fault.rs
@@ -210,6 +210,21 @@
         /// Period in which heartbeats are copied.
         duration_s: f64,
     },
+    /// Every message that carries commands, or forwards heartbeats, is copied. Half of the copies arrive
+    /// within a second.
+    DuplicatedCommands {
+        /// Longest delay of a copy.
+        max_delay_s: f64,
+        /// Period in which messages are copied.
+        duration_s: f64,
+    },
+    /// A worker's process ends with all of its tasks, and continues with its next epoch.
+    WorkerRestart {
+        /// Index of the machine.
+        machine: usize,
+        /// Time until it continues.
+        duration_s: f64,
+    },
     /// Copies of about a third of the heartbeats reach every controller after the next leader has
     /// started.
     HeartbeatsReplayedAfterFailover {
@@ -280,6 +295,7 @@
             | Fault::ReorderedMachineLists { duration_s }
             | Fault::FastBoots { duration_s }
             | Fault::MachineHang { duration_s, .. }
+            | Fault::WorkerRestart { duration_s, .. }
             | Fault::ResponsesLost { duration_s, .. }
             | Fault::ResponsesLostInZone { duration_s, .. }
             | Fault::HeartbeatsLost { duration_s, .. }
@@ -293,7 +309,8 @@
             Fault::DelayedWrites { duration_s, .. } => MAX_WRITE_DELAY_S + duration_s,
             Fault::SlowStore { max_delay_s, duration_s }
             | Fault::SlowWorkerResponses { max_delay_s, duration_s } => max_delay_s * 2.0 + duration_s,
-            Fault::DuplicatedHeartbeats { max_delay_s, duration_s } => max_delay_s + duration_s,
+            Fault::DuplicatedHeartbeats { max_delay_s, duration_s }
+            | Fault::DuplicatedCommands { max_delay_s, duration_s } => max_delay_s + duration_s,
             Fault::HeartbeatsReplayedAfterFailover { delay_s, duration_s } => delay_s + duration_s,
             Fault::MachineLost { .. }
             | Fault::SlowImageFetch { .. }
--- a/crates/simulation/src/sim/fault_injection.rs
+++ b/crates/simulation/src/sim/fault_injection.rs
@@ -14,6 +14,7 @@
     pub(super) zone_partition: ZoneOutage,
     pub(super) query_flood: Disturbance,
     pub(super) duplicated_heartbeats: Disturbance,
+    pub(super) duplicated_commands: Disturbance,
     pub(super) delayed_writes: Disturbance,
     pub(super) lost_write_responses: Disturbance,
     pub(super) slow_store: Disturbance,
@@ -69,6 +70,7 @@
             | Fault::IsolatedWithWorkers { .. } => self.begin_controller_fault(fault),
             Fault::MachineLost { .. }
             | Fault::MachineHang { .. }
+            | Fault::WorkerRestart { .. }
             | Fault::FaultyMachine { .. }
             | Fault::SlowImageFetch { .. }
             | Fault::ResponsesLost { .. }
@@ -136,6 +138,9 @@
             Fault::MachineHang { machine, duration_s } => {
                 self.change_worker(machine, |worker| worker.hung_until = now + duration_s);
             }
+            Fault::WorkerRestart { machine, duration_s } => {
+                self.change_worker(machine, |worker| worker.restart(now, now + duration_s));
+            }
             Fault::FaultyMachine { machine } => self.change_worker(machine, |worker| worker.faulty = true),
             Fault::SlowImageFetch { machine, fetch_s } => {
                 self.change_worker(machine, |worker| worker.first_fetch_s = Some(fetch_s));
@@ -193,6 +198,9 @@
             Fault::LostWriteResponses { share, duration_s } => {
                 faults.lost_write_responses = disturbance(duration_s, share);
             }
+            Fault::DuplicatedCommands { max_delay_s, duration_s } => {
+                faults.duplicated_commands = disturbance(duration_s, max_delay_s);
+            }
             Fault::StoreLimitsReduced => self.reduce_store_limits(),
             Fault::PeerConnectionsRefused { duration_s } => {
                 faults.peer_connections_refused_until = now + duration_s;
--- a/crates/simulation/src/sim/interception.rs
+++ b/crates/simulation/src/sim/interception.rs
@@ -155,6 +155,7 @@
     /// Sends a message. `from` is the sending node, if the sender is a node. All planned message
     /// faults are injected here.
     pub(super) fn send(&mut self, at: f64, from: Option<usize>, event: Event) {
+        self.copy_commands(at, &event);
         let Some(interception) = &mut self.interception else { return self.schedule(at, event) };
         interception.count += 1;
         let number = interception.count;
--- a/crates/simulation/src/sim/setup.rs
+++ b/crates/simulation/src/sim/setup.rs
@@ -100,6 +100,8 @@
             quarantined: BTreeSet::new(),
             unanswered_writes: Vec::new(),
             late_starts: Vec::new(),
+            repeated_starts: Vec::new(),
+            command_copies: CommandCopies::default(),
             settings: setup.settings.clone(),
             checks: setup.checks,
             loss: setup.loss,
--- a/crates/simulation/src/sim/workers.rs
+++ b/crates/simulation/src/sim/workers.rs
@@ -149,15 +149,19 @@
 
     fn execute_commands(&mut self, id: &str, commands: &[Command]) {
         let now = self.now;
+        let mut started = Vec::new();
         for command in commands {
             let job = split_task(&command.task).map(|(job, _)| job);
             let launch = job.and_then(|job| self.draw_launch(job));
             if let Some(worker) = self.workers.get_mut(id) {
                 let first_fetch_s = worker.first_fetch_of(job.unwrap_or(""));
                 let launch = launch.map(|usual| Launch { fetch_s: first_fetch_s.unwrap_or(usual.fetch_s) });
-                worker.execute(now, command, launch);
+                if worker.execute(now, command, launch) && command.kind == CommandKind::Start {
+                    started.push(command.clone());
+                }
             }
         }
+        self.record_repeated_starts(id, commands, &started);
         if let Some(at) = self.workers.get(id).map(|worker| worker.next_heartbeat) {
             self.schedule(at, Event::WorkerTurn(id.to_string()));
         }
--- a/crates/simulation/src/worker.rs
+++ b/crates/simulation/src/worker.rs
@@ -131,6 +131,8 @@
     pub responses_lost_until: f64,
     /// Time until which its heartbeats are lost, while direct commands reach it.
     pub heartbeats_lost_until: f64,
+    /// Attempts that were removed by command.
+    removed: BTreeSet<(TaskKey, u64)>,
     last_heartbeat: f64,
     token_changed_at: f64,
 }
@@ -154,6 +156,7 @@
             hung_until: 0.0,
             responses_lost_until: 0.0,
             heartbeats_lost_until: 0.0,
+            removed: BTreeSet::new(),
             last_heartbeat: f64::MIN,
             token_changed_at: f64::MIN,
         }
@@ -222,15 +225,32 @@
         true
     }
 
-    /// Executes a command. Without `launch`, a started task exits with `ExitCause::Unknown`.
-    pub fn execute(&mut self, now: f64, command: &Command, launch: Option<Launch>) {
-        let Some((job, index)) = split_task(&command.task) else { return };
+    /// Whether this attempt was removed by command.
+    pub fn has_removed(&self, task: &TaskKey, attempt: u64) -> bool {
+        self.removed.contains(&(task.clone(), attempt))
+    }
+
+    /// Ends the worker's process with all of its tasks. It continues at `continues_at`, with its next
+    /// epoch.
+    pub fn restart(&mut self, now: f64, continues_at: f64) {
+        self.tasks.clear();
+        self.epoch += 1;
+        self.renewed_at = now;
+        self.in_flight = None;
+        self.hung_until = self.hung_until.max(continues_at);
+        self.expedite_heartbeat(continues_at);
+    }
+
+    /// Executes a command and returns whether it took effect. Without `launch`, a started task exits
+    /// with `ExitCause::Unknown`.
+    pub fn execute(&mut self, now: f64, command: &Command, launch: Option<Launch>) -> bool {
+        let Some((job, index)) = split_task(&command.task) else { return false };
         let key = TaskKey { job: job.to_string(), index };
         match command.kind {
             CommandKind::Start => {
                 let started = self.start(now, key, command.attempt, launch);
                 if !started {
-                    return;
+                    return false;
                 }
             }
             CommandKind::Stop => {
@@ -243,10 +263,12 @@
                 let task = self.tasks.get(&key);
                 if task.is_some_and(|task| task.attempt == command.attempt && task.has_exited()) {
                     self.tasks.remove(&key);
+                    self.removed.insert((key, command.attempt));
                 }
             }
         }
         self.expedite_heartbeat(now);
+        true
     }
 
     /// Starts an attempt of a task. Returns false if the attempt is already known or an earlier one
