--- a/crates/controller/src/agents/task_exits.rs
+++ b/crates/controller/src/agents/task_exits.rs
@@ -219,13 +219,5 @@
         }
     }
     // Members that were never launched are released without proof that they ended.
-    let unlaunched: Vec<u32> = job
-        .placements
-        .iter()
-        .filter(|(_, placement)| !placement.launch_sent && placement.observed_state.is_none())
-        .map(|(&member, _)| member)
-        .collect();
-    for member in unlaunched {
-        job.release_placement(member);
-    }
+    job.release_unlaunched();
 }
--- a/crates/controller/src/leader/record_watch.rs
+++ b/crates/controller/src/leader/record_watch.rs
@@ -28,7 +28,7 @@
 impl Controller {
     /// Handles the reply to a watch on the jobs that was sent at `sent_at`.
     pub(crate) fn on_job_watch(&mut self, token: u64, sent_at: Time, reply: StoreReply) {
-        let retry_at = self.now + self.timing.renewal_interval_s / 4.0;
+        let retry_at = self.store_retry_at();
         let Some(leader) = self.leader_state(token) else { return };
         leader.watch.in_flight = false;
         match reply {
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -6,7 +6,7 @@
 use crate::model::job::Job;
 use crate::model::records::{
     parse_page_key, ImagesRecord, JobRecord, PageRecord, TerminalRecord, Value, IMAGES_PREFIX, JOB_PREFIX,
-    MARK_PREFIX, PAGE_PREFIX, SPEC_CHUNK_PREFIX,
+    MARK_PREFIX, MIN_TASKS_PER_PAGE, PAGE_PREFIX, SPEC_CHUNK_PREFIX,
 };
 use crate::storage::archive::{terminal_record, TerminalJob};
 use crate::storage::spec_chunks::ChunkReader;
@@ -21,9 +21,6 @@
 /// images the machines hold.
 const MAX_IMAGE_AGE_S: f64 = 3600.0;
 
-/// Number of tasks that any job's record can hold as its first page, regardless of `per_page`.
-const MIN_TASKS_PER_PAGE: u32 = 4;
-
 /// Phases of recovery, one for each kind of stored record, in the order in which they are read.
 ///
 /// Specification chunks are read before the jobs that refer to them; cancellation marks and pages
@@ -315,7 +312,7 @@
     /// Handles the reply to a read of records that was sent at `sent_at`.
     pub(crate) fn on_recovery_page(&mut self, token: u64, sent_at: Time, reply: StoreReply) {
         let context = self.recovery_context();
-        let retry_at = self.now + self.timing.renewal_interval_s / 4.0;
+        let retry_at = self.store_retry_at();
         let Some(leader) = self.leader_state(token) else { return };
         leader.recovery.read_in_flight = false;
         let StoreReply::Page(page) = reply else {
--- a/crates/controller/src/leader/terminal_jobs.rs
+++ b/crates/controller/src/leader/terminal_jobs.rs
@@ -20,19 +20,6 @@
     }
 }
 
-/// Releases placements that were never launched.
-fn release_unlaunched(job: &mut Job) {
-    let unlaunched: Vec<u32> = job
-        .placements
-        .iter()
-        .filter(|(_, placement)| !placement.launch_sent && placement.observed_state.is_none())
-        .map(|(&task, _)| task)
-        .collect();
-    for task in unlaunched {
-        job.release_placement(task);
-    }
-}
-
 /// Stops all tasks without a grace period, since their checkpoints are not needed.
 fn stop_immediately(job: &mut Job, now: Time) {
     for placement in job.placements.values_mut() {
@@ -63,7 +50,7 @@
         if !job.is_final() {
             return;
         }
-        release_unlaunched(job);
+        job.release_unlaunched();
         stop_immediately(job, now);
         if job.placements.is_empty() && job.is_stored() {
             let terminal_job = TerminalJob::from_job(job);
--- a/crates/controller/src/model/job.rs
+++ b/crates/controller/src/model/job.rs
@@ -198,4 +198,22 @@
             self.gang_aborting = false;
         }
     }
+
+    /// Releases the placements whose task was never launched.
+    pub fn release_unlaunched(&mut self) {
+        self.release_where(|placement| !placement.launch_sent && placement.observed_state.is_none());
+    }
+
+    /// Releases the placements that are not stored, whose tasks were never launched.
+    pub(super) fn release_uncommitted(&mut self) {
+        self.release_where(|placement| !placement.committed);
+    }
+
+    fn release_where(&mut self, is_released: impl Fn(&Placement) -> bool) {
+        let released = self.placements.iter().filter(|(_, placement)| is_released(placement));
+        let tasks: Vec<u32> = released.map(|(&task, _)| task).collect();
+        for task in tasks {
+            self.release_placement(task);
+        }
+    }
 }
--- a/crates/controller/src/model/job/record.rs
+++ b/crates/controller/src/model/job/record.rs
@@ -116,15 +116,6 @@
         self.release_uncommitted();
     }
 
-    /// Releases placements that are not stored, and so were never launched.
-    fn release_uncommitted(&mut self) {
-        let uncommitted = self.placements.iter().filter(|(_, placement)| !placement.committed);
-        let tasks: Vec<u32> = uncommitted.map(|(&task, _)| task).collect();
-        for task in tasks {
-            self.release_placement(task);
-        }
-    }
-
     /// Records that `write` was applied at `revision`.
     pub fn on_stored(&mut self, write: &JobWrite, revision: u64) {
         self.page_layout.record_stored(&write.pages, revision);
--- a/crates/controller/src/storage/archive/moves.rs
+++ b/crates/controller/src/storage/archive/moves.rs
@@ -18,8 +18,6 @@
 /// Number of mutations that move a record: a deletion and a put. No transaction is sent
 /// while fewer are allowed.
 const RECORD_MUTATIONS: usize = 2;
-/// Number of retries of a failed move per lease renewal interval.
-const RETRIES_PER_RENEWAL_INTERVAL: f64 = 4.0;
 
 /// Conditions and mutations that archive a job, or delete some of its keys.
 pub struct ArchiveMove {
@@ -193,7 +191,7 @@
 
     /// Handles the reply to a transaction that archives jobs.
     pub(crate) fn on_archive_move_reply(&mut self, token: u64, reply: StoreReply) {
-        let retry_at = self.now + self.timing.renewal_interval_s / RETRIES_PER_RENEWAL_INTERVAL;
+        let retry_at = self.store_retry_at();
         let refused_retry_at = self.now + self.settings.params.workers.lease_s;
         let Some(leader) = self.leader_state(token) else { return };
         let archive = &mut leader.archive;
--- a/crates/controller/src/storage/store_limits.rs
+++ b/crates/controller/src/storage/store_limits.rs
@@ -1,7 +1,7 @@
 //! Limits of the store: the current ones and the announced ones from the settings, and which of the
 //! two are in force, as far as refused writes have shown it.
 
-use crate::Controller;
+use crate::{Controller, Time};
 use protocol::state::MAX_TRANSACTION_BYTES;
 use settings::StateLimits;
 use tracing::info;
@@ -21,6 +21,8 @@
 /// may write a number with one more digit.
 const VALUE_SIZE_MARGIN: f64 = 1.0 / 32.0;
 const BYTES_PER_KB: f64 = 1024.0;
+/// Number of retries of a failed request to the store per lease renewal interval.
+const RETRIES_PER_RENEWAL_INTERVAL: f64 = 4.0;
 
 /// Limits that this node observes. Sizes fit both the current and the announced limits from the
 /// start. The rate is the current limit until the store refuses it, so that the announced rate is not
@@ -104,6 +106,11 @@
 }
 
 impl Controller {
+    /// Returns the time at which the leader retries a request that fails now.
+    pub(crate) fn store_retry_at(&self) -> Time {
+        self.now + self.timing.renewal_interval_s / RETRIES_PER_RENEWAL_INTERVAL
+    }
+
     /// Lowers the write rate after the store refused a write for its rate.
     pub(crate) fn on_rate_limited(&mut self) {
         if self.store_limits.on_rate_limited() {
--- a/crates/controller/src/storage/write_queue/outcome.rs
+++ b/crates/controller/src/storage/write_queue/outcome.rs
@@ -10,8 +10,6 @@
 use protocol::state::Event;
 use tracing::{debug, warn};
 
-/// Number of retries of a failed write per lease renewal interval.
-const RETRIES_PER_RENEWAL_INTERVAL: f64 = 4.0;
 /// Number of conflicts in a row after which the writes of a job are suspended.
 const MAX_CONFLICTS_IN_A_ROW: u32 = 4;
 
@@ -57,7 +55,7 @@
 
     /// Delays the next write and the next retry of a failed read-back.
     pub(super) fn delay_writes(&mut self, token: u64) {
-        let retry_at = self.now + self.timing.renewal_interval_s / RETRIES_PER_RENEWAL_INTERVAL;
+        let retry_at = self.store_retry_at();
         if let Some(leader) = self.leader_state(token) {
             leader.write_queue.retry_at = retry_at;
         }
