Refused chunks and archive moves of one job are suspended as well

Cause, found on a last reading: conflicts were counted only for the pages that a write stores, so a write of chunks whose condition fails was repeated without a bound; a refused archive move of a job with an oversized record counted as "the next write is smaller" every time; and the refusal of a value over the current limit was taken for a sign of the announced limits, against docs/upgrades.md, which would open the format gate too early.

Change: every key of a write counts; a refused write is followed at once by a smaller one only once per stored record, and never after an archive move; the announced limits are inferred only from values that fit the current ones.

The other two have no test of their own.

--- a/crates/controller/src/model/job/pages.rs
+++ b/crates/controller/src/model/job/pages.rs
@@ -97,11 +97,12 @@
         self.placements_on_page(page).map(|(task, placement)| placement_size(task, placement)).sum()
     }
 
-    /// Whether a value exceeds the next limits and a new layout would make it smaller.
-    pub fn needs_new_layout(&self) -> bool {
+    /// Whether a value exceeds the next limits, and a new layout, which has not begun yet, would make it
+    /// smaller.
+    pub fn is_new_layout_due(&self) -> bool {
         let can_shrink =
             self.page_layout.per_page > MIN_TASKS_PER_PAGE || !self.value_sizes.is_spec_chunked();
-        can_shrink && self.exceeds_next_limit()
+        can_shrink && !self.page_layout.is_changing() && self.exceeds_next_limit()
     }
 
     /// Whether a value exceeds the next limits in the current layout.
--- a/crates/controller/src/model/job/persistence.rs
+++ b/crates/controller/src/model/job/persistence.rs
@@ -64,6 +64,12 @@
         self.urgent_write
     }
 
+    /// Whether a refused write may be followed at once by a smaller one, which is the case once per
+    /// stored record. Counts as a refusal.
+    pub fn take_immediate_retry(&mut self) -> bool {
+        self.record_refusal() == 1
+    }
+
     /// Records that the store refused a write of this job. Returns the number of such refusals since its
     /// record was last stored.
     pub fn record_refusal(&mut self) -> u32 {
--- a/crates/controller/src/storage/write_queue.rs
+++ b/crates/controller/src/storage/write_queue.rs
@@ -9,7 +9,7 @@
 
 use crate::leader::state::{LeaderState, Role};
 use crate::model::job::{Job, JobWrite};
-use crate::model::records::Value;
+use crate::model::records::{json_size, Value};
 use crate::scheduling::effective_priority::priority_level;
 use crate::{CallContext, Controller, StoreRequest, Time};
 use due_jobs::due_jobs;
@@ -113,6 +113,15 @@
         self.entries.iter().any(|entry| entry.job_id == id)
     }
 
+    /// Returns the sizes of the values that it writes, in JSON bytes.
+    fn value_bytes(&self) -> impl Iterator<Item = usize> + '_ {
+        self.written_values.iter().map(|(_, value)| json_size(value))
+    }
+
+    fn largest_value_bytes(&self) -> usize {
+        self.value_bytes().max().unwrap_or(0)
+    }
+
     /// Returns the revision at which all its values were stored, if `events` show it. All of them are
     /// compared, since a single job may look the same after an earlier transaction that was applied
     /// late.
--- a/crates/controller/src/storage/write_queue/outcome.rs
+++ b/crates/controller/src/storage/write_queue/outcome.rs
@@ -3,7 +3,7 @@
 use super::{InFlightTransaction, TransactionEntry};
 use crate::leader::state::LeaderState;
 use crate::model::job::Job;
-use crate::model::records::{job_key, json_size, mark_key, page_key, Value};
+use crate::model::records::{job_key, mark_key, page_key, Value};
 use crate::storage::fencing::{is_fenced, LEADERSHIP_LOST};
 use crate::{Controller, StoreReply};
 use protocol::job::JobStatus;
@@ -38,7 +38,7 @@
             }
             StoreReply::Invalid => {
                 log_refused_transaction(&txn);
-                self.on_transaction_invalid(token, &txn.entries);
+                self.on_transaction_invalid(token, &txn);
             }
             _ => {
                 // The transaction may have been applied, or may still be. The stored versions show
@@ -101,28 +101,29 @@
     }
 
     /// Handles a transaction that the store rejected as invalid. Its jobs are then written one by one
-    /// to find the rejected record. If a record may exceed the announced limits, these are taken to
-    /// be in force from now on. A job that was rejected alone is suspended unless its next write
-    /// will be smaller: an unchanged write would be rejected again and hold up those of other jobs.
-    fn on_transaction_invalid(&mut self, token: u64, entries: &[TransactionEntry]) {
+    /// to find the rejected record. If a record may exceed the announced limits, but fits the current
+    /// ones, the announced limits are taken to be in force from now on. A job that was rejected alone
+    /// is suspended, unless its next write will be smaller: an unchanged write would be rejected again
+    /// and hold up those of other jobs.
+    fn on_transaction_invalid(&mut self, token: u64, txn: &InFlightTransaction) {
+        let current_value_bytes = self.store_limits.current_value_bytes();
         let Some(leader) = self.leader_state(token) else { return };
         let may_exceed_announced_limits =
-            entries.iter().any(|entry| leader.may_exceed_announced_limits(&entry.job_id));
-        if may_exceed_announced_limits {
+            txn.entries.iter().any(|entry| leader.may_exceed_announced_limits(&entry.job_id));
+        if may_exceed_announced_limits && txn.largest_value_bytes() <= current_value_bytes {
             self.on_size_refused();
         }
         let may_change_layout = self.uses_current_format();
         let (now, lease_s) = (self.now, self.settings.params.workers.lease_s);
         let Some(leader) = self.leader_state(token) else { return };
         leader.write_queue.write_now = true;
-        for entry in entries {
+        for entry in &txn.entries {
             let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) else { continue };
-            let next_is_smaller =
-                may_change_layout && !job.page_layout.is_changing() && job.needs_new_layout();
-            if entries.len() == 1 && !next_is_smaller {
+            job.persistence.write_alone = true;
+            let next_is_smaller = may_change_layout && !entry.archives && job.is_new_layout_due();
+            if txn.entries.len() == 1 && !(next_is_smaller && job.persistence.take_immediate_retry()) {
                 job.suspend_writes(now, lease_s);
             }
-            job.persistence.write_alone = true;
         }
     }
 
@@ -132,9 +133,11 @@
         let (now, lease_s) = (self.now, self.settings.params.workers.lease_s);
         let Some(leader) = self.leader_state(token) else { return };
         for entry in entries {
-            let keys = leader.written_keys(std::slice::from_ref(entry));
+            let mut keys = leader.written_keys(std::slice::from_ref(entry));
+            keys.extend([job_key(&entry.job_id), mark_key(&entry.job_id)]);
+            keys.extend(entry.spec_chunk_keys.iter().cloned());
+            let is_affected = keys.iter().any(|key| failed.contains(key));
             let Some(job) = leader.cluster.jobs.get_mut(&entry.job_id) else { continue };
-            let is_affected = keys.iter().chain([&mark_key(&entry.job_id)]).any(|key| failed.contains(key));
             if is_affected && job.persistence.record_refusal() > MAX_CONFLICTS_IN_A_ROW {
                 job.suspend_writes(now, lease_s);
             }
@@ -145,7 +148,7 @@
 /// Logs the jobs of a transaction that the store rejected as invalid, and the sizes of its values.
 fn log_refused_transaction(txn: &InFlightTransaction) {
     let jobs: Vec<&str> = txn.entries.iter().map(|entry| entry.job_id.as_str()).collect();
-    let value_bytes: Vec<usize> = txn.written_values.iter().map(|(_, value)| json_size(value)).collect();
+    let value_bytes: Vec<usize> = txn.value_bytes().collect();
     debug!(serial = txn.serial, ?jobs, ?value_bytes, "state service refused a transaction as invalid");
 }
 
--- a/crates/controller/src/storage/write_queue/transaction.rs
+++ b/crates/controller/src/storage/write_queue/transaction.rs
@@ -136,7 +136,7 @@
     /// Starts a new layout of the job if a value would exceed the announced limits or, while some node
     /// may not be able to read the new layout, allows larger values.
     fn fit_values(&self, job: &mut Job) {
-        if job.page_layout.is_changing() || !job.needs_new_layout() {
+        if !job.is_new_layout_due() {
             return;
         }
         if self.conditions.may_change_layout {
--- a/crates/simulation/tests/refused_writes.rs
+++ b/crates/simulation/tests/refused_writes.rs
@@ -5,9 +5,11 @@
 use anisecroft_simulation::state::{Limits, RefusedWrites};
 use anisecroft_simulation::{Fault, ScheduledFault, Setup, Simulation, Submission};
 use common::*;
+use controller::records::{ARCHIVE_FORMAT, FORMAT};
 use protocol::job::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use rayon::prelude::*;
+use settings::NextLimits;
 
 /// Longest time from a job's submission to its end while other writes are refused, in seconds. Two
 /// changes of the leader are included.
@@ -119,6 +121,27 @@
     });
 }
 
+/// Guards against chunks of a specification, moved out of its record after an upgrade, that are refused
+/// every time.
+#[test]
+fn refused_chunks_of_one_job_hold_up_no_other_job() {
+    for (seed, is_invalid) in [(0, true), (1, false), (2, true), (3, false)] {
+        let machine_types = (0..40).map(|n| "x".repeat(60 + n)).chain(["big".to_string()]).collect();
+        let shape = [Shape::Array, Shape::Gang, Shape::Service][seed as usize % 3];
+        let urgent = JobSpec { machine_types: Some(machine_types), ..urgent_job(0, shape, 3) };
+        let mut setup = setup(seed, vec![urgent], 8.0);
+        let next = NextLimits { value_kb: Some(2.0), ..NextLimits::default() };
+        setup.settings.params.store.next = Some(next);
+        setup.faults.push(ScheduledFault::new(REFUSED_FROM_S + 4.0, Fault::StoreLimitsReduced));
+        let mut sim = Simulation::new(setup);
+        sim.announce_format(ARCHIVE_FORMAT);
+        sim.run(REFUSED_FROM_S);
+        sim.announce_format(FORMAT);
+        sim.store_mut().refuse_writes(RefusedWrites { key_prefix: "w/".into(), is_invalid });
+        assert_others_served(&mut sim, &format!("seed {seed}, invalid: {is_invalid}"));
+    }
+}
+
 /// Guards against a part of the machines' images that is refused every time, because the service
 /// refuses it or because its names take more bytes than estimated.
 #[test]
