Jobs that are written alone take turns with the others

Found on a last reading: a job that was refused together with an oversized record is written alone until it is stored, but only if it is the first due one; beside a stream of more urgent jobs it would wait. And a suspended gang of which some placements are stored must keep the others, since it runs as a whole.

Change: after each transaction of other jobs, the first due job that is written alone goes first, if the write rate leaves its reserve or it is urgent. A partly stored gang keeps its placements.

The partly stored gang has no test.

--- a/crates/controller/src/model/job.rs
+++ b/crates/controller/src/model/job.rs
@@ -15,7 +15,7 @@
 use crate::model::page_layout::PageLayout;
 use crate::model::records::{JobRecord, JobValueSizes, SpecChunks, Value};
 use crate::storage::store_limits::StoreLimits;
-use protocol::job::{JobSpec, JobStatus};
+use protocol::job::{JobSpec, JobStatus, Shape};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A live job: its specification, the state of its tasks, and its persistence state.
@@ -204,9 +204,13 @@
         self.release_where(|placement| !placement.launch_sent && placement.observed_state.is_none());
     }
 
-    /// Releases the placements that are not stored, whose tasks were never launched.
+    /// Releases the placements that are not stored, whose tasks were never launched. A gang keeps them
+    /// if others of its placements are stored, because it runs as a whole.
     pub(super) fn release_uncommitted(&mut self) {
-        self.release_where(|placement| !placement.committed);
+        let is_partly_stored = self.placements.values().any(|placement| placement.committed);
+        if self.spec.shape != Shape::Gang || !is_partly_stored {
+            self.release_where(|placement| !placement.committed);
+        }
     }
 
     fn release_where(&mut self, is_released: impl Fn(&Placement) -> bool) {
--- a/crates/controller/src/storage/write_queue.rs
+++ b/crates/controller/src/storage/write_queue.rs
@@ -12,7 +12,7 @@
 use crate::model::records::{json_size, Value};
 use crate::scheduling::effective_priority::priority_level;
 use crate::{CallContext, Controller, StoreRequest, Time};
-use due_jobs::due_jobs;
+use due_jobs::{due_jobs, move_to_front, DueJob};
 use protocol::job::JobStatus;
 use protocol::state::{Event, Mutation, Transaction};
 use transaction::{TransactionBuilder, WriteConditions};
@@ -36,6 +36,8 @@
     scan_at: Time,
     /// Whether to scan for jobs to be written without waiting for `scan_at`.
     pub write_now: bool,
+    /// Whether the last transaction was that of a job that is written alone.
+    last_was_alone: bool,
 }
 
 impl WriteQueue {
@@ -49,6 +51,7 @@
             retry_at: now,
             scan_at: now,
             write_now: false,
+            last_was_alone: false,
         }
     }
 
@@ -164,13 +167,21 @@
         if !leader.write_queue.begin_scan(now, scan_interval_s) {
             return;
         }
-        let due = due_jobs(&mut leader.cluster.jobs, now, conditions.lazy_delay_s);
+        let mut due = due_jobs(&mut leader.cluster.jobs, now, conditions.lazy_delay_s);
         if due.is_empty() {
             leader.shrink_oversized_job(&conditions);
             return;
         }
         let token = leader.fencing_token;
         let budget = leader.fleet.write_budget(conditions.rate);
+        if !leader.write_queue.last_was_alone {
+            let has_reserve = budget.available_at(now) >= conditions.urgent_reserve();
+            let is_alone = |job: &DueJob| {
+                let job_state = leader.cluster.jobs.get(&job.id);
+                job_state.is_some_and(|state| state.persistence.write_alone)
+            };
+            move_to_front(&mut due, |job| (has_reserve || !job.is_lazy) && is_alone(job));
+        }
         let mut builder = TransactionBuilder::new(&conditions, budget, &leader.dependencies.graph, token);
         for due_job in &due {
             let Some(job) = leader.cluster.jobs.get_mut(&due_job.id) else { continue };
@@ -179,6 +190,11 @@
             }
         }
         let Some((mut txn, entries)) = builder.finish() else { return };
+        let is_alone = |entry: &TransactionEntry| {
+            let job = leader.cluster.jobs.get(&entry.job_id);
+            job.is_some_and(|job| job.persistence.write_alone)
+        };
+        leader.write_queue.last_was_alone = entries.iter().all(is_alone);
         let serial = leader.write_queue.begin_transaction(entries, &txn);
         if !self.checks.version_checks {
             txn.compares.clear();
--- a/crates/controller/src/storage/write_queue/due_jobs.rs
+++ b/crates/controller/src/storage/write_queue/due_jobs.rs
@@ -6,6 +6,9 @@
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
+#[cfg(test)]
+mod tests;
+
 /// Job to be written.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DueJob {
@@ -37,6 +40,13 @@
     due
 }
 
+/// Moves the first of the jobs that `is_chosen` to the front.
+pub fn move_to_front(due: &mut [DueJob], is_chosen: impl Fn(&DueJob) -> bool) {
+    if let Some(position) = due.iter().position(is_chosen) {
+        due[..=position].rotate_right(1);
+    }
+}
+
 fn due_job(id: &str, job: &Job, dirty_since: Time, now: Time, lazy_delay_s: Time) -> Option<DueJob> {
     if needs_urgent_write(job) {
         let rank = u8::MAX - priority_level(&job.spec);
