--- a/crates/simulation/tests/refused_writes.rs
+++ b/crates/simulation/tests/refused_writes.rs
@@ -109,6 +109,16 @@
     assert_others_served(&mut sim, &format!("seed {seed}, {prefix}, invalid: {is_invalid}"));
 }
 
+/// Guards against rarer delays by refused archive moves and conflicting pages.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn refused_writes_of_one_job_hold_up_no_other_job_on_further_seeds() {
+    for seed in [754, 844, 1174, 1504] {
+        assert_refusals_hold_up_no_other_job(seed, "jo/req-900000", true);
+    }
+    assert_refusals_hold_up_no_other_job(2283, "t/req-900000", false);
+}
+
 /// Guards against pages that conflict every time beside a record that can be written: the count of
 /// conflicts begins again with each record.
 #[test]
